--- /dev/null
+++ b/embertray/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the simulator's wire and the decision module; it decides nothing."""
--- /dev/null
+++ b/embertray/benchlink/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m embertray.benchlink`: batches of events on standard input, replies on standard output."""
+import sys
+
+from .wire import serve
+
+sys.exit(serve(sys.stdin, sys.stdout, sys.stderr))
--- /dev/null
+++ b/embertray/benchlink/wire.py
@@ -0,0 +1,336 @@
+"""Wire text to types and back: microseconds to nanoseconds, ids to objects, one Instance per controller."""
+import traceback
+
+from .. import interface as i
+from ..choice import Controller
+
+US = 1000
+AGAIN = {"read_like": "replayable", "idempotency_key": "uniqued", "non_idempotent": "non-replayable"}
+STATES = {0: "draining", 1: "gone", 2: "ready"}
+LISTS = {0: "changes", 1: "whole", 2: "cached", 3: "failed"}
+LOADS = {"active": "held", "waiting": "waiting", "cpu": "busy", "avg_ms": "service_ms", "rps": "rate",
+         "err_rps": "errored_rate"}
+MARKS, TABLES = 65535, 65534
+
+
+class BadWire(Exception):
+    pass
+
+
+def boolean(text):
+    if text in ("0", "1"):
+        return text == "1"
+    raise ValueError(text)
+
+
+def number(text):
+    value = float(text)
+    if value != value or value in (float("inf"), float("-inf")):
+        raise ValueError(text)
+    return value
+
+
+# field -> (reader, needed); fields that are not named here are skipped
+FIELDS = {
+    "SYNC": {"t-us": (int, True), "batch": (int, True)},
+    "FOR": {"who": (int, True)},
+    "ENLIST": {"salt": (int, True)},
+    "KILLED": {},
+    "DIRECTORY_UPDATE": {"kind": (int, True), "rows-in": (int, False)},
+    "ITEM": {"backend": (str, True), "ready-at-us": (int, False), "share": (number, False),
+             "health": (int, False), "rack-zone": (str, False)},
+    "TICK_DUE": {"label": (int, True)},
+    "CHECK_RESULT": {"how": (int, True), "took-us": (int, False), "backend": (str, True),
+                     "stats": (str, False)},
+    "PEER_DATA": {"by": (int, True), "blob": (str, False)},
+    "STREAM_UP": {"proxy": (int, True), "rack-zone": (str, True), "share": (number, False),
+                  "set": (boolean, False)},
+    "DETACHED": {"proxy": (int, True)},
+    "STATS": {"took-us": (int, False), "lost": (int, False), "backend": (str, True),
+              "window-us": (int, False), "rack-zone": (str, False), "total": (int, True),
+              "stats": (str, False)},
+    "TRAFFIC": {"total": (int, True), "window-us": (int, False), "proxy": (int, True),
+                "class": (str, True), "lost": (int, False)},
+    "HEAT": {"route-table": (int, True), "class": (str, True), "total": (int, True),
+             "lost": (int, False), "window-us": (int, False)},
+    "LEASED": {"route-table": (int, True), "set": (boolean, True)},
+    "LEDGER_LINE": {"route-table": (int, True), "backend": (str, True), "share": (number, False)},
+    "CONFIRMED": {"took-us": (int, False), "proxy": (int, True), "epoch": (int, True)},
+}
+
+
+def pairs(text):
+    found = {}
+    for part in text.split(" "):
+        if part:
+            name, eq, value = part.partition("=")
+            if not eq or not name:
+                raise BadWire(f"'{part}' is not name=value")
+            found[name] = value
+    return found
+
+
+def fields(name, text):
+    raw, got = pairs(text), {}
+    for key, (read, needed) in FIELDS[name].items():
+        if key in raw:
+            try:
+                got[key] = read(raw[key])
+            except ValueError:
+                raise BadWire(f"{name}: '{raw[key]}' is no good value for {key}") from None
+        elif needed:
+            raise BadWire(f"{name}: {key} is missing")
+    return raw, got
+
+
+class Instance:
+    """One controller: its module, and the ids of the objects that the module deals in."""
+
+    def __init__(self, seed, raw):
+        self.raw = raw
+        self.backends, self.proxies, self.zones, self.tables = {}, {}, {}, {}
+        self.marks, self.next_mark, self.next_table = {}, 0, 0
+        self.reports = [LOADS.get(name, name) for name in self.text("feedback.fields").split(",") if name]
+        self.kinds = {}
+        for k in range(int(self.figure("profiles.count"))):
+            kind = i.ReqKind(self.time(f"profiles.{k}.aim"), self.time(f"profiles.{k}.deadline"),
+                             self.figure(f"profiles.{k}.worth", 1.0),
+                             AGAIN.get(self.text(f"profiles.{k}.effect"), "non-replayable"),
+                             self.text(f"profiles.{k}.group", "all"), k)
+            self.kinds[self.text(f"profiles.{k}.name", str(k))] = kind
+        names = [name for name in self.text("zones").split(",") if name]
+        self.module = Controller(seed, i.Deployment(
+            list(self.kinds.values()), [self.zone(name) for name in names], self.zone(self.text("az")),
+            int(self.figure("balancers", 1)), int(self.figure("specifics.agents")),
+            self.text("discovery") == "ask", self.time("contract.must-ask-in"), self.yes("caps.probes"),
+            {"silent": "none"}.get(self.text("specifics.throttle-by"), self.text("specifics.throttle-by", "none")),
+            self.text("specifics.selects-by", "weighted"), int(self.figure("specifics.base-mode")),
+            int(self.figure("specifics.partitions-n")), self.time("specifics.blackhole"),
+            self.figure("specifics.pending-max"), self.figure("specifics.channel-rate"),
+            self.figure("specifics.head"), self.time("specifics.push-delay"),
+            self.time("specifics.push-delay-max"), int(self.figure("specifics.messages-most")),
+            self.time("specifics.update-window"), self.time("specifics.cycle"),
+            self.figure("contract.cold-from", 1.0), self.time("contract.warm-after"),
+            self.figure("contract.fall-multiple"), self.time("contract.fall"),
+            self.time("contract.drain-grace"), self.figure("fees.cross-zone"),
+            not self.yes("contract.dropped-stay-open")))
+
+    def text(self, key, other=""):
+        return self.raw.get(key, other)
+
+    def figure(self, key, other=0.0):
+        try:
+            return number(self.raw[key]) if key in self.raw else other
+        except ValueError:
+            raise BadWire(f"ENLIST: '{self.raw[key]}' is no good value for {key}") from None
+
+    def time(self, key):
+        return int(self.figure(key + "-us") * US)
+
+    def yes(self, key):
+        return self.text(key) in ("true", "1")
+
+    def zone(self, name):
+        return self.zones.setdefault(name, i.Zone(name)) if name not in self.zones else self.zones[name]
+
+    def backend(self, address):
+        if address not in self.backends:
+            self.backends[address] = i.Backend(address)
+        return self.backends[address]
+
+    def proxy(self, ident):
+        if ident not in self.proxies:
+            self.proxies[ident] = i.Proxy(ident)
+        return self.proxies[ident]
+
+    def slice(self, ident):
+        if ident not in self.tables:
+            self.tables[ident] = i.Table(ident)
+        return self.tables[ident]
+
+    def load(self, got):
+        try:
+            return dict(zip(self.reports, [number(v) for v in got["stats"].split(",")])) if "stats" in got else {}
+        except ValueError:
+            raise BadWire(f"'{got['stats']}' is no good load report") from None
+
+    def kind(self, name):
+        if name not in self.kinds:
+            raise BadWire(f"request kind '{name}' is not in the settings")
+        return self.kinds[name]
+
+    def entry(self, got):
+        state = got.get("health", 2)
+        if state not in STATES:
+            raise BadWire(f"ITEM: {state} is no good value for health")
+        return i.Entry(self.backend(got["backend"]), self.zone(got.get("rack-zone", "")), STATES[state],
+                       got.get("ready-at-us", 0) * US, got.get("share", 1.0))
+
+    def event(self, name, got):
+        """The typed event of one wire line; None for a name that is not known."""
+        span = got.get("window-us", 0) * US
+        if name == "DIRECTORY_UPDATE":
+            if got["kind"] not in LISTS:
+                raise BadWire(f"{name}: {got['kind']} is no good value for kind")
+            return i.ListNews(LISTS[got["kind"]])
+        if name == "TICK_DUE":
+            return i.WakeDue(got["label"])
+        if name == "CHECK_RESULT":
+            return i.ProbeDone(self.backend(got["backend"]), got["how"] == 1, got.get("took-us", 0) * US,
+                               self.load(got))
+        if name == "PEER_DATA":
+            blob = got.get("blob", "-")
+            try:
+                return i.PeerNote(got["by"], b"" if blob == "-" else bytes.fromhex(blob))
+            except ValueError:
+                raise BadWire(f"PEER_DATA: '{blob}' is no good value for blob") from None
+        if name == "STREAM_UP":
+            return i.Joined(self.proxy(got["proxy"]), self.zone(got["rack-zone"]), got.get("share", 0.0),
+                            got.get("set", False))
+        if name == "DETACHED":
+            return i.Left(self.proxy(got["proxy"]))
+        if name == "STATS":
+            return i.Heard(self.backend(got["backend"]), self.zone(got.get("rack-zone", "")), got["total"],
+                           got.get("lost", 0), got.get("took-us", 0) * US, span, self.load(got))
+        if name == "TRAFFIC":
+            return i.Arrivals(self.proxy(got["proxy"]), self.kind(got["class"]), got["total"],
+                              got.get("lost", 0), span)
+        if name == "HEAT":
+            return i.SliceArrivals(self.slice(got["route-table"]), self.kind(got["class"]), got["total"],
+                                   got.get("lost", 0), span)
+        if name == "LEASED":
+            return i.SliceGiven(self.slice(got["route-table"]), got["set"])
+        if name == "LEDGER_LINE":
+            return i.SliceLine(self.slice(got["route-table"]), self.backend(got["backend"]),
+                               got.get("share", 1.0))
+        if name == "CONFIRMED":
+            mark = self.marks.get(got["epoch"])
+            return mark and i.Answered(self.proxy(got["proxy"]), mark, got.get("took-us", 0) * US)
+        return None
+
+    def table(self, table):
+        if table.door is None:
+            self.next_table = self.next_table % TABLES + 1
+            table.door = self.next_table
+        return table.door
+
+    def action(self, order):
+        """The wire line of one order."""
+        if isinstance(order, i.SetLine):
+            return f"ENDPOINT share={order.weight:.6g} route-table={self.table(order.table)} backend={order.backend.door}"
+        if isinstance(order, i.Bind):
+            return f"POINT proxy={order.proxy.door} route-table={self.table(order.table)} lanes=0"
+        if isinstance(order, i.Withdraw):
+            return f"TAKE_OUT backend={order.backend.door} set={int(order.out)}"
+        if isinstance(order, i.SetLevel):
+            lanes = sum(1 << kind.door for kind in order.kinds)
+            return (f"SET_LEVEL route-table={self.table(order.table)} lanes={lanes} "
+                    f"allowance={order.level:.6g} second-try={order.retry}")
+        if isinstance(order, i.PutMark):
+            self.next_mark = self.next_mark % MARKS + 1
+            order.mark.door = self.next_mark
+            self.marks[self.next_mark] = order.mark
+            return f"CHECKPOINT set=0 epoch={self.next_mark}"
+        if isinstance(order, i.Wake):
+            return f"ARM label={order.label} wait-us={max(0, order.after) // US}"
+        if isinstance(order, i.Subscribe):
+            return f"WATCH set={int(order.on)}"
+        if isinstance(order, i.AskList):
+            return "GET_LIST"
+        if isinstance(order, i.Probe):
+            return f"PING backend={order.backend.door}"
+        return "SAY_LOG what=" + " ".join(order.text.split())
+
+
+class Link:
+    """Reads batches and plays them to the instances."""
+
+    def __init__(self):
+        self.instances = {}
+        self.clock = None
+
+    def begin(self, got):
+        self.clock, self.batch = got["t-us"] * US, got["batch"]
+        self.who, self.rows, self.news = None, 0, None
+        self.todo = {}                       # instance number -> its events, in order of first mention
+
+    def line(self, text):
+        """Takes one line; gives the reply's lines when the batch is done, else None."""
+        name, _, rest = text.partition(" ")
+        if name == "SYNC":
+            if self.clock is not None:
+                raise BadWire("SYNC inside a batch")
+            self.begin(fields(name, rest)[1])
+            return None
+        if self.clock is None:
+            raise BadWire(f"{name} before SYNC")
+        if self.rows and name != "ITEM":
+            raise BadWire(f"DIRECTORY_UPDATE is {self.rows} entries short")
+        if name == "FLUSH":
+            return self.finish()
+        if name not in FIELDS:
+            return None
+        raw, got = fields(name, rest)
+        if name == "FOR":
+            self.who = got["who"]
+        elif self.who is None:
+            raise BadWire(f"{name} before FOR")
+        elif name == "ITEM":
+            if self.rows:
+                self.rows -= 1
+                if self.news:
+                    self.news.entries.append(self.instances[self.who].entry(got))
+        elif name == "ENLIST":
+            self.instances[self.who] = Instance(got["salt"], raw)
+            self.todo[self.who] = []
+        elif name == "KILLED":
+            self.instances.pop(self.who, None)
+            self.todo.pop(self.who, None)
+        else:
+            known = self.instances.get(self.who)
+            event = known.event(name, got) if known else None
+            if name == "DIRECTORY_UPDATE":
+                self.rows, self.news = got.get("rows-in", 0), event
+                if self.rows < 0:
+                    raise BadWire("DIRECTORY_UPDATE: rows-in is below 0")
+            if event:
+                self.todo.setdefault(self.who, []).append(event)
+        return None
+
+    def finish(self):
+        reply = []
+        for who, events in self.todo.items():
+            instance = self.instances[who]
+            reply.append(f"FROM who={who}")
+            try:
+                orders = instance.module.step(self.clock, events)
+            except Exception as cause:        # the wire wants the module's failure declared, not a crash
+                spot = traceback.extract_tb(cause.__traceback__)[-1]
+                reply.append(f"DIE what={type(cause).__name__}: {cause} ({spot.name}, line {spot.lineno})"
+                             .replace("\n", " "))
+                break
+            reply += [instance.action(order) for order in orders]
+            if not orders:
+                reply.pop()
+        reply.append(f"DONE batch={self.batch}")
+        self.clock = None
+        return reply
+
+
+def serve(source, sink, errors):
+    """Runs to the end of input: 0, or 1 with one message if a line is malformed."""
+    link, count = Link(), 0
+    for text in source:
+        count += 1
+        text = text.rstrip("\r\n")
+        if not text:
+            continue
+        try:
+            reply = link.line(text)
+        except BadWire as wrong:
+            errors.write(f"embertray: line {count}: {wrong}\n")
+            return 1
+        if reply:
+            sink.write("\n".join(reply) + "\n")
+            sink.flush()
+    return 0
