--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -20,11 +20,12 @@
 KEEP = 64                # samples kept a backend: three zones' reports over WINDOW and some
 MOVE = 0.20              # share; the design page's threshold of a weight's move
 STEP = 0.25              # share; the design page's most for one move
+RATIO = 1.4              # x; most that latency counts for at once: past it, it tells of a queue, not of speed
 HEARD = 8                # tries in WINDOW; fewer say nothing, the backend counts as average
 CAP_LOW, CAP_HIGH = 0.25, 3.0   # x average: below it a backend is hardly heard, above it one node carries too much
 REMOTE = 0.03            # of a local line's weight: keeps a remote backend heard and its connection open
-SICK = 2.5               # x median latency, errors counted as client time-outs: past chance and machine kinds
-SICK_TRIES = 5           # tries in SHORT before a backend can be called sick
+SICK = 3.5               # x median latency, errors counted as client time-outs: past chance and machine kinds
+SICK_TRIES = 8           # tries in SHORT before a backend can be called sick
 SICK_MOST = 0.35         # share of the ready ones shut out at most: more is no sick few but a general trouble
 TRICKLE = 0.06           # of its weight, for a sick one: enough to hear of it within a few seconds
 BACK = 2.0               # x weight a solve on the way back
@@ -188,7 +189,7 @@
         if len(heard) < 2:
             return
         mid = median(r[1][2] for r in heard)
-        est = {r[0]: (r[1][0] - r[1][1]) * mid / max(r[1][2], 1) for r in heard}
+        est = {r[0]: (r[1][0] - r[1][1]) * min(RATIO, max(1 / RATIO, mid / max(r[1][2], 1))) for r in heard}
         mean = sum(est.values()) / len(est)
         for be, value in est.items():
             want = min(CAP_HIGH, max(CAP_LOW, value / mean if mean else 1.0))
