Shed from the most lately done, regain a tenth a second

Cause: after a jam the cut was taken from a collapsed done rate, so two thirds were denied for 15 s.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -36,8 +36,9 @@
 SLOWEST = 8              # x; a channel may run so much slower than told: the ledger counts on no more than that
 URGENT, ORDINARY = 0.85, 0.3    # of the lines that may wait: removals and joiners; weights and repeats
 SPARE = 6                # messages to a proxy kept for removals where messages are limited
-HIGH, LOW = 0.75, 0.5    # of the response target: median latency where load is shed, and let in again
-CUT, GROW = 0.90, 1.05   # x; admitted load a look, down and up: down faster, since a queue outlives its cause
+HIGH, LOW = 0.6, 0.4    # of the response target: median latency where load is shed, and let in again
+DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
+CUT, GROW = 0.80, 1.10   # x; admitted load a look, down and up: down faster, since a queue outlives its cause
 LOOK = 1 * S             # ns; between two looks at the load
 DELAY = 3 * S            # ns; a change of level shows in the reports no sooner
 LEVEL_MOVE = 0.08        # share; a level moves no less, each costs a line at every proxy
@@ -243,7 +244,8 @@
 
     def __init__(self, hub):
         super().__init__(hub)
-        self.rates, self.allowed, self.look_at, self.low_since, self.try_until = {}, None, 0, 0, 0
+        self.rates, self.allowed, self.look_at, self.try_until = {}, None, 0, 0
+        self.done = deque(maxlen=DONE_KEEP)
 
     def on_demand(self, px, rates):
         self.rates[px] = rates
@@ -257,9 +259,9 @@
         if hub.now >= self.look_at and rates and hub.site.throttle != "none":
             self.look_at = hub.now + LOOK
             coming = sum(sum(r.values()) for r in rates.values())
-            done = (tries - bad) * S / SHORT
+            self.done.append((tries - bad) * S / SHORT)
             if mid > HIGH * hub.target:
-                self.allowed = min(self.allowed or coming, coming, max(done, 0.3 * coming)) * CUT
+                self.allowed = CUT * min(self.allowed or coming, coming, max(self.done))
                 self.look_at = hub.now + DELAY
                 hub.say(f"overload: {self.allowed:.0f} of {coming:.0f} reqs a second let in")
             elif self.allowed and mid < LOW * hub.target:
