--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -21,10 +21,12 @@
 MOVE = 0.20              # share; the design page's threshold of a weight's move
 STEP = 0.25              # share; the design page's most for one move
 RATIO = 1.4              # x; most that latency counts for at once: past it, it tells of a queue, not of speed
+LOADED = 0.15            # share off the median of the told loads: a backend so far off is not moved further off
 HEARD = 8                # tries in WINDOW; fewer say nothing, the backend counts as average
+CRAWL, FAST = 3.0, 0.5   # x median latency, and the larger step down past it: no chance does that over HEARD tries
 CAP_LOW, CAP_HIGH = 0.25, 3.0   # x average: below it a backend is hardly heard, above it one node carries too much
 REMOTE = 0.03            # of a local line's weight: keeps a remote backend heard and its connection open
-SICK = 3.5               # x median latency, errors counted as client time-outs: past chance and machine kinds
+SICK = 0.35              # share errored above the peers' median: past what chance does to a dozen tries
 SICK_TRIES = 8           # tries in SHORT before a backend can be called sick
 SICK_MOST = 0.35         # share of the ready ones shut out at most: more is no sick few but a general trouble
 TRICKLE = 0.06           # of its weight, for a sick one: enough to hear of it within a few seconds
@@ -36,11 +38,11 @@
 SLOWEST = 8              # x; a channel may run so much slower than told: the ledger counts on no more than that
 URGENT, ORDINARY = 0.85, 0.3    # of the lines that may wait: removals and joiners; weights and repeats
 SPARE = 6                # messages to a proxy kept for removals where messages are limited
-HIGH, LOW = 0.6, 0.4    # of the response target: median latency where load is shed, and let in again
+HIGH, LOW = 0.55, 0.4   # of the response target: median latency where load is shed, and let in again
 DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
-CUT, GROW = 0.80, 1.10   # x; admitted load a look, down and up: down faster, since a queue outlives its cause
+CUT, GROW = 0.80, 1.15   # x; admitted load a look, down and up: down faster, since a queue outlives its cause
 LOOK = 1 * S             # ns; between two looks at the load
-DELAY = 3 * S            # ns; a change of level shows in the reports no sooner
+DELAY = 4 * S            # ns; a change of level shows in the reports no sooner
 LEVEL_MOVE = 0.08        # share; a level moves no less, each costs a line at every proxy
 ALL_RATE = 10**6         # reqs a second at a proxy: no limit
 TROUBLED = (0.03, 0.40)  # errored share where further tries help: below not needed, above they add to the fault
@@ -91,7 +93,16 @@
 
     def on_heard(self, ev):
         if self.hub.now >= self.deaf_until and ev.tries > 0:
-            self.samples.append((self.hub.now, ev.tries, min(ev.errored, ev.tries), ev.latency))
+            self.samples.append((self.hub.now, ev.tries, min(ev.errored, ev.tries), ev.latency, self.told(ev.load)))
+
+    @staticmethod
+    def told(load):
+        """Its own word of how loaded it is: the first such figure that the site's reports carry."""
+        return next((load[name] for name in ("busy", "waiting", "held") if name in load), None)
+
+    def load(self):
+        told = [r[4] for r in self.samples if r[4] is not None and r[0] > self.hub.now - WINDOW]
+        return sum(told) / len(told) if told else None
 
     def over(self, span):
         """Tries, errored, and mean latency with each error counted as a client time-out."""
@@ -100,6 +111,12 @@
         took = sum((r[1] - r[2]) * r[3] + r[2] * self.hub.timeout for r in rows)
         return tries, bad, took / tries if tries else 0
 
+    def lately(self):
+        """Mean latency of those done in the newest reports; 0 if none."""
+        rows = [r for r in self.samples if r[0] > self.hub.now - self.hub.site.report_cycle * 3 // 2]
+        done = sum(r[1] - r[2] for r in rows)
+        return sum((r[1] - r[2]) * r[3] for r in rows) / done if done else 0
+
     def warmth(self):
         age = self.hub.now - self.started
         site = self.hub.site
@@ -109,7 +126,7 @@
 
     def on_beat(self):
         if self.state == "ready":
-            self.hub.planner.tell("figures", self, self.over(WINDOW), self.over(SHORT), self.warmth())
+            self.hub.planner.tell("figures", self, self.over(WINDOW), self.over(SHORT), self.warmth(), self.load(), self.lately())
 
     def on_cap(self, cap):
         self.cap = cap
@@ -174,51 +191,57 @@
     def on_solve(self):
         rows, need, self.rows, self.need = self.rows, self.need, [], {}
         heard = [r for r in rows if r[1][0] >= HEARD and r[3] >= 1 and r[0].health >= 1]
-        recent = [r[2][2] for r in rows if r[2][0] >= SICK_TRIES and r[0].health >= 1]
-        mid = median(recent) if recent else 0
+        done = [r[5] for r in rows if r[5]]
         caps = {r[0]: r[0].cap for r in rows}
         if self.hub.now >= self.next_solve:
             self.next_solve = self.hub.now + SOLVE
             self.learn(heard, caps)
-            self.judge_back(rows, mid)
-        health = self.judge(rows, mid)
-        self.hub.levels.tell("state", mid, sum(r[2][0] for r in rows), sum(r[2][1] for r in rows))
+            self.judge_back(rows)
+        health = self.judge(rows)
+        self.hub.levels.tell("state", median(done) if done else 0, sum(r[2][0] for r in rows),
+                             sum(r[2][1] for r in rows))
         self.lines({r[0]: caps[r[0]] * r[3] * health[r[0]] for r in rows}, need)
 
     def learn(self, heard, caps):
-        """The companion's estimate: done rate x median latency / own, moved past MOVE only, by STEP at most."""
+        """The companion's estimate: done rate x median latency / own, moved past MOVE only, by STEP at most.
+        A told load vetoes a move that would take a backend further from its peers' load: latency alone shows a
+        full queue late and starves slow machines that have time. Hurts where loads are told wrongly."""
         if len(heard) < 2:
             return
         mid = median(r[1][2] for r in heard)
         est = {r[0]: (r[1][0] - r[1][1]) * min(RATIO, max(1 / RATIO, mid / max(r[1][2], 1))) for r in heard}
         mean = sum(est.values()) / len(est)
+        load, own = {r[0]: r[4] for r in heard}, {r[0]: r[1][2] for r in heard}
+        usual = median([v for v in load.values() if v is not None] or [0])
         for be, value in est.items():
             want = min(CAP_HIGH, max(CAP_LOW, value / mean if mean else 1.0))
-            if abs(want / be.cap - 1) > MOVE:
-                caps[be] = be.cap * min(1 + STEP, max(1 - STEP, want / be.cap))
+            if abs(want / be.cap - 1) > MOVE and not (load[be] and (want - be.cap) * (load[be] - usual) > 0
+                                                      and abs(load[be] - usual) > LOADED * usual):
+                step = FAST if mid * CRAWL < own[be] else STEP
+                caps[be] = be.cap * min(1 + STEP, max(1 - step, want / be.cap))
                 be.tell("cap", caps[be])
 
-    def judge(self, rows, mid):
-        """Guards against any backend that serves far worse than its peers: errors, hangs, crawling, dying unseen.
+    def judge(self, rows):
+        """Guards against a backend that errs far more than its peers: quick errors, hangs, a death not yet listed.
         A general trouble moves the median along and shuts nobody out. Hurts where few peers are heard."""
         health = {r[0]: r[0].health for r in rows}
-        bad = sorted((r for r in rows if r[2][0] >= SICK_TRIES and r[2][2] > SICK * mid and r[0].health >= 0.5
-                      and mid), key=lambda r: -r[2][2])
+        share = {r[0]: r[2][1] / r[2][0] for r in rows if r[2][0] >= SICK_TRIES and r[0].health > TRICKLE}
+        usual = median(share.values()) if share else 0
+        bad = sorted((be for be, s in share.items() if s > SICK + usual), key=lambda be: -share[be])
         room = int(SICK_MOST * len(rows)) - sum(1 for h in health.values() if h < 1)
-        for r in bad[:max(0, room)]:
-            health[r[0]] = TRICKLE
-            r[0].tell("health", TRICKLE)
-            self.hub.say("a backend serves far worse than its peers: cut to a trickle")
+        for be in bad:
+            if be.health < 1 or room > 0:
+                room -= be.health >= 1
+                health[be] = TRICKLE
+                be.tell("health", TRICKLE)
+                self.hub.say("a backend errs far more than its peers: cut to a trickle")
         return health
 
-    def judge_back(self, rows, mid):
-        for be, _, (tries, bad, took), _ in rows:
-            if be.health < 1 and self.hub.now > be.deaf_until:
-                good = tries >= BACK_TRIES and took <= SICK / 2 * mid
-                if good or (tries == 0 and self.hub.now - be.since > MUTE):
-                    be.tell("health", min(1.0, be.health * BACK))
-                elif tries >= BACK_TRIES and be.health > TRICKLE and took > SICK * mid:
-                    be.tell("health", TRICKLE)
+    def judge_back(self, rows):
+        for be, _, (tries, bad, took), *_ in rows:
+            if be.health < 1 and self.hub.now > be.deaf_until and (
+                    tries >= BACK_TRIES and bad <= tries / 4 or tries == 0 and self.hub.now - be.since > MUTE):
+                be.tell("health", min(1.0, be.health * BACK))
 
     def lines(self, eff, need):
         """Zone tables hold all listed; a zone keeps its reqs at home as far as its own backends' part reaches."""
