--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -294,7 +294,7 @@
                     hub.say("overload over: all let in")
             self.shed(rates, coming)
         for kind in kinds:
-            kind.actor.retry = 2 if kind.again == "replayable" and hub.now < self.try_until else 1
+            kind.actor.retry = 1
         hub.channel.tell("levels", [(k, k.actor.level, k.actor.retry) for k in kinds])
 
     def shed(self, rates, coming):
