--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -45,7 +45,7 @@
 DELAY = 4 * S            # ns; a change of level shows in the reports no sooner
 LEVEL_MOVE = 0.08        # share; a level moves no less, each costs a line at every proxy
 ALL_RATE = 10**6         # reqs a second at a proxy: no limit
-TROUBLED = (0.03, 0.40)  # errored share where further tries help: below not needed, above they add to the fault
+MOST_FAIL = 0.4          # errored share past which a further try only adds to the load that makes tries fail
 ASK_FIRST, ASK_CAP = 500 * MS, 4 * S     # ns; asking the list again after a failure: first and longest delay
 
 
@@ -267,7 +267,7 @@
 
     def __init__(self, hub):
         super().__init__(hub)
-        self.rates, self.allowed, self.look_at, self.try_until = {}, None, 0, 0
+        self.rates, self.allowed, self.look_at, self.calm_at = {}, None, 0, 0
         self.done = deque(maxlen=DONE_KEEP)
 
     def on_demand(self, px, rates):
@@ -277,8 +277,8 @@
         rates, self.rates = self.rates, {}
         hub, kinds = self.hub, self.hub.site.kinds
         share = bad / tries if tries else 0.0
-        if TROUBLED[0] < share < TROUBLED[1] and mid < HIGH * hub.target:
-            self.try_until = hub.now + DELAY
+        if share > MOST_FAIL:
+            self.calm_at = hub.now + DELAY
         if hub.now >= self.look_at and rates and hub.site.throttle != "none":
             self.look_at = hub.now + LOOK
             coming = sum(sum(r.values()) for r in rates.values())
@@ -294,7 +294,7 @@
                     hub.say("overload over: all let in")
             self.shed(rates, coming)
         for kind in kinds:
-            kind.actor.retry = 1
+            kind.actor.retry = 0 if hub.now < self.calm_at else 1
         hub.channel.tell("levels", [(k, k.actor.level, k.actor.retry) for k in kinds])
 
     def shed(self, rates, coming):
