Graded health, load judged by the mean of all done tries

Cause: slow machines that jammed at even weights were cut to a trickle and their capacity was lost. A sick backend now keeps the part it answers. Mean done latency over all tries sees a partial jam earlier than the median backend.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -112,10 +112,9 @@
         return tries, bad, took / tries if tries else 0
 
     def lately(self):
-        """Mean latency of those done in the newest reports; 0 if none."""
+        """Summed latency and number of those done in the newest reports."""
         rows = [r for r in self.samples if r[0] > self.hub.now - self.hub.site.report_cycle * 3 // 2]
-        done = sum(r[1] - r[2] for r in rows)
-        return sum((r[1] - r[2]) * r[3] for r in rows) / done if done else 0
+        return sum((r[1] - r[2]) * r[3] for r in rows), sum(r[1] - r[2] for r in rows)
 
     def warmth(self):
         age = self.hub.now - self.started
@@ -191,14 +190,14 @@
     def on_solve(self):
         rows, need, self.rows, self.need = self.rows, self.need, [], {}
         heard = [r for r in rows if r[1][0] >= HEARD and r[3] >= 1 and r[0].health >= 1]
-        done = [r[5] for r in rows if r[5]]
+        done = [r[5] for r in rows]
         caps = {r[0]: r[0].cap for r in rows}
         if self.hub.now >= self.next_solve:
             self.next_solve = self.hub.now + SOLVE
             self.learn(heard, caps)
             self.judge_back(rows)
         health = self.judge(rows)
-        self.hub.levels.tell("state", median(done) if done else 0, sum(r[2][0] for r in rows),
+        self.hub.levels.tell("state", sum(d[0] for d in done) / (sum(d[1] for d in done) or 1), sum(r[2][0] for r in rows),
                              sum(r[2][1] for r in rows))
         self.lines({r[0]: caps[r[0]] * r[3] * health[r[0]] for r in rows}, need)
 
@@ -232,9 +231,9 @@
         for be in bad:
             if be.health < 1 or room > 0:
                 room -= be.health >= 1
-                health[be] = TRICKLE
-                be.tell("health", TRICKLE)
-                self.hub.say("a backend errs far more than its peers: cut to a trickle")
+                health[be] = max(TRICKLE, health[be] * (1 - share[be]))
+                be.tell("health", health[be])
+                self.hub.say("a backend errs far more than its peers: its weight is cut")
         return health
 
     def judge_back(self, rows):
