--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -25,7 +25,7 @@
 HEARD = 8                # tries in WINDOW; fewer say nothing, the backend counts as average
 CRAWL, FAST = 3.0, 0.5   # x median latency, and the larger step down past it: no chance does that over HEARD tries
 CAP_LOW, CAP_HIGH = 0.25, 3.0   # x average: below it a backend is hardly heard, above it one node carries too much
-REMOTE = 0.03            # of a local line's weight: keeps a remote backend heard and its connection open
+HOME = 0.9              # share of a zone's reqs planned to stay home; the rest goes everywhere, so a loss is spread
 SICK = 0.35              # share errored above the peers' median: past what chance does to a dozen tries
 SICK_TRIES = 8           # tries in SHORT before a backend can be called sick
 SICK_MOST = 0.35         # share of the ready ones shut out at most: more is no sick few but a general trouble
@@ -243,21 +243,21 @@
                 be.tell("health", min(1.0, be.health * BACK))
 
     def lines(self, eff, need):
-        """Zone tables hold all listed; a zone keeps its reqs at home as far as its own backends' part reaches."""
+        """Zone tables hold all listed. Where crossing costs, a part of a zone's reqs stays home as far as its own
+        backends' part of the capacity reaches, and what it lacks goes where there is some to spare."""
         zones = list(dict.fromkeys(be.zone for be in eff))
-        cap = {z: sum(w for be, w in eff.items() if be.zone is z) for z in zones}
-        total, reqs = sum(cap.values()) or 1.0, sum(need.values()) or 1.0
-        spare = {z: max(0.0, cap[z] / total - need.get(z, 0.0) / reqs) for z in zones}
+        total, reqs = sum(eff.values()) or 1.0, sum(need.values()) or 1.0
+        cap = {z: sum(w for be, w in eff.items() if be.zone is z) / total or 1e-9 for z in zones}
+        spare = {z: max(0.0, cap[z] - need.get(z, 0.0) / reqs) for z in zones}
+        keep = HOME if self.hub.site.cross_fee > 0 else 0.0
         for zone in self.hub.zones():
             want = need.get(zone, 0.0) / reqs
-            home = min(want, cap.get(zone, 0.0) / total)
-            away = sum(s for z, s in spare.items() if z is not zone)
+            home, away = min(want, cap.get(zone, 0.0)), sum(s for z, s in spare.items() if z is not zone)
+            flow = {z: (home if z is zone else (want - home) * spare[z] / away if away else 0.0) for z in zones}
+            part = {z: (keep * flow[z] / want if want else 0.0) / cap[z] + 1 - keep for z in zones}
+            top = part.get(zone) or 1.0
             for be, w in eff.items():
-                part = 1.0
-                if be.zone is not zone and home > 0 and self.hub.site.cross_fee > 0:
-                    flow = (want - home) * spare[be.zone] / away if away else 0.0
-                    part = max(REMOTE, (flow / (cap[be.zone] or 1)) / (home / cap[zone]))
-                self.hub.channel.tell("want", zone, be, w * min(1.0, part))
+                self.hub.channel.tell("want", zone, be, w * part[be.zone] / top)
         self.hub.channel.tell("send")
 
 
