--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -41,6 +41,7 @@
 HIGH, LOW = 0.55, 0.4   # of the response target: median latency where load is shed, and let in again
 DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
 CUT, GROW = 0.80, 1.15   # x; admitted load a look, down and up: down faster, since a queue outlives its cause
+AHEAD = 1.25             # x what is being done: no more is let in, however short the answers take meanwhile
 LOOK = 1 * S             # ns; between two looks at the load
 DELAY = 4 * S            # ns; a change of level shows in the reports no sooner
 LEVEL_MOVE = 0.08        # share; a level moves no less, each costs a line at every proxy
@@ -287,7 +288,7 @@
                 self.look_at = hub.now + DELAY
                 hub.say(f"overload: {self.allowed:.0f} of {coming:.0f} reqs a second let in")
             elif self.allowed and mid < LOW * hub.target:
-                self.allowed *= GROW
+                self.allowed = max(self.allowed, min(self.allowed * GROW, self.done[-1] * AHEAD))
                 if self.allowed > coming:
                     self.allowed = None
                     hub.say("overload over: all let in")
