Cold weight follows the told falling load, not the cold share alone

Guards against pushing over any cold backend while tables lag; may starve one that is warm sooner than told.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -34,6 +34,7 @@
 BACK_TRIES = 3           # good tries before a step back
 MUTE = 12 * S            # ns; a sick one not heard for so long gets a step back all the same
 PATIENCE = 1 * S         # ns; the least a mark may take: proxies stand still while they apply tables
+COLD_PART, COLD_TOP = 0.38, 0.95   # of the load a cold one falls under at average load, and the most until warm
 RETRY_CAP = 8 * S        # ns; longest delay between repeats: below the sweep, so a retry still means something
 SLOWEST = 8              # x; a channel may run so much slower than told: the ledger counts on no more than that
 URGENT, ORDINARY = 0.85, 0.3    # of the lines that may wait: removals and joiners; weights and repeats
@@ -122,7 +123,8 @@
         site = self.hub.site
         if self.started <= 0 or age >= site.warm_after:
             return 1.0
-        return site.cold_from + (1 - site.cold_from) * max(0, age) / site.warm_after
+        told = site.cold_from + (1 - site.cold_from) * max(0, age) / site.warm_after
+        return min(COLD_TOP, told * (COLD_PART * site.fall_multiple or 1))
 
     def on_beat(self):
         if self.state == "ready":
