--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -39,12 +39,12 @@
 SLOWEST = 8              # x; a channel may run so much slower than told: the ledger counts on no more than that
 URGENT, ORDINARY = 0.85, 0.3    # of the lines that may wait: removals and joiners; weights and repeats
 SPARE = 6                # messages to a proxy kept for removals where messages are limited
+TRUTH = 0.4              # least part of what levels grant that is believed to come: repeats may be denied like first tries
 HIGH, LOW = 0.55, 0.4   # of the response target: median latency where load is shed, and let in again
 DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
-CUT, GROW = 0.80, 1.15   # x; admitted load a look, down and up: down faster, since a queue outlives its cause
-AHEAD = 1.25             # x what is being done: no more is let in, however short the answers take meanwhile
+DRAIN, FULL = 0.6, 0.9   # x the most lately done: let in until the queues are gone, and then
+AGAIN, GROW = 0.85, 1.03 # x the last goal where a queue comes back; and a look while answers are short
 LOOK = 1 * S             # ns; between two looks at the load
-DELAY = 4 * S            # ns; a change of level shows in the reports no sooner
 LEVEL_MOVE = 0.08        # share; a level moves no less, each costs a line at every proxy
 ALL_RATE = 10**6         # reqs a second at a proxy: no limit
 MOST_FAIL = 0.4          # errored share past which a further try only adds to the load that makes tries fail
@@ -269,7 +269,8 @@
 
     def __init__(self, hub):
         super().__init__(hub)
-        self.rates, self.allowed, self.look_at, self.calm_at = {}, None, 0, 0
+        self.rates, self.goal, self.look_at, self.calm_at = {}, None, 0, 0
+        self.full = self.granted = 0.0
         self.done = deque(maxlen=DONE_KEEP)
 
     def on_demand(self, px, rates):
@@ -280,19 +281,21 @@
         hub, kinds = self.hub, self.hub.site.kinds
         share = bad / tries if tries else 0.0
         if share > MOST_FAIL:
-            self.calm_at = hub.now + DELAY
+            self.calm_at = hub.now + hub.timeout
         if hub.now >= self.look_at and rates and hub.site.throttle != "none":
             self.look_at = hub.now + LOOK
             coming = sum(sum(r.values()) for r in rates.values())
-            self.done.append((tries - bad) * S / SHORT)
+            self.done.append(((tries - bad) * S / SHORT, tries * S / SHORT, self.granted))
             if mid > HIGH * hub.target:
-                self.allowed = CUT * min(self.allowed or coming, coming, max(self.done))
-                self.look_at = hub.now + DELAY
-                hub.say(f"overload: {self.allowed:.0f} of {coming:.0f} reqs a second let in")
-            elif self.allowed and mid < LOW * hub.target:
-                self.allowed = max(self.allowed, min(self.allowed * GROW, self.done[-1] * AHEAD))
-                if self.allowed > coming:
-                    self.allowed = None
+                most = max(done for done, *_ in self.done)
+                self.full = most if self.goal is None else max(most, AGAIN * self.goal)
+                self.goal = DRAIN * self.full
+                self.look_at = hub.now + hub.timeout // 2 + 2 * hub.site.report_cycle
+                hub.say(f"overload: {self.goal:.0f} of {coming:.0f} reqs a second let in")
+            elif self.goal is not None and mid < LOW * hub.target:
+                self.goal = max(FULL * self.full, self.goal * GROW)
+                if self.goal > coming:
+                    self.goal = None
                     hub.say("overload over: all let in")
             self.shed(rates, coming)
         for kind in kinds:
@@ -301,7 +304,12 @@
 
     def shed(self, rates, coming):
         """Sheds the least credit first, as much as the reqs let in exceed what was lately done."""
-        over = max(0.0, coming - self.allowed) if self.allowed else 0.0
+        over = 0.0
+        if self.goal is not None:
+            rows = [r for r in self.done if r[2]]
+            truth = sum(r[1] for r in rows) / sum(r[2] for r in rows) if len(rows) > 3 else 1.0
+            over = max(0.0, coming - self.goal / min(1.0, max(TRUTH, truth)))
+        self.granted = coming - over if over else 0.0
         for kind in sorted(self.hub.site.kinds, key=lambda k: k.credit):
             come = [r[kind] for r in rates.values()]
             cut = min(over, 0.97 * sum(come))
