--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -20,6 +20,7 @@
 KEEP = 64                # samples kept a backend: three zones' reports over WINDOW and some
 MOVE = 0.20              # share; the design page's threshold of a weight's move
 STEP = 0.25              # share; the design page's most for one move
+EASE = 0.15              # of the response target: differences well under it are no reason to fill a fast machine
 RATIO = 1.4              # x; most that latency counts for at once: past it, it tells of a queue, not of speed
 LOADED = 0.15            # share off the median of the told loads: a backend so far off is not moved further off
 HEARD = 8                # tries in WINDOW; fewer say nothing, the backend counts as average
@@ -40,10 +41,10 @@
 URGENT, ORDINARY = 0.85, 0.3    # of the lines that may wait: removals and joiners; weights and repeats
 SPARE = 6                # messages to a proxy kept for removals where messages are limited
 TRUTH = 0.4              # least part of what levels grant that is believed to come: repeats may be denied like first tries
-HIGH, LOW = 0.55, 0.4   # of the response target: median latency where load is shed, and let in again
+HIGH, LOW = 0.6, 0.4   # of the response target: median latency where load is shed, and let in again
 DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
-DRAIN, FULL = 0.6, 0.9   # x the most lately done: let in until the queues are gone, and then
-AGAIN, GROW = 0.85, 1.03 # x the last goal where a queue comes back; and a look while answers are short
+DRAIN, FULL = 0.75, 0.95   # x the most lately done: let in until the queues are gone, and then
+AGAIN, GROW = 0.85, 1.05 # x the last goal where a queue comes back; and a look while answers are short
 LOOK = 1 * S             # ns; between two looks at the load
 LEVEL_MOVE = 0.08        # share; a level moves no less, each costs a line at every proxy
 ALL_RATE = 10**6         # reqs a second at a proxy: no limit
@@ -210,8 +211,8 @@
         full queue late and starves slow machines that have time. Hurts where loads are told wrongly."""
         if len(heard) < 2:
             return
-        mid = median(r[1][2] for r in heard)
-        est = {r[0]: (r[1][0] - r[1][1]) * min(RATIO, max(1 / RATIO, mid / max(r[1][2], 1))) for r in heard}
+        mid, ease = median(r[1][2] for r in heard), EASE * self.hub.target
+        est = {r[0]: (r[1][0] - r[1][1]) * min(RATIO, max(1 / RATIO, (mid + ease) / (r[1][2] + ease))) for r in heard}
         mean = sum(est.values()) / len(est)
         load, own = {r[0]: r[4] for r in heard}, {r[0]: r[1][2] for r in heard}
         usual = median([v for v in load.values() if v is not None] or [0])
