--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -202,7 +202,7 @@
             self.judge_back(rows)
         health = self.judge(rows)
         self.hub.levels.tell("state", sum(d[0] for d in done) / (sum(d[1] for d in done) or 1), sum(r[2][0] for r in rows),
-                             sum(r[2][1] for r in rows))
+                             sum(r[2][1] for r in rows), sum(caps[r[0]] * r[3] for r in rows) or 1.0)
         self.lines({r[0]: caps[r[0]] * r[3] * health[r[0]] for r in rows}, need)
 
     def learn(self, heard, caps):
@@ -277,7 +277,7 @@
     def on_demand(self, px, rates):
         self.rates[px] = rates
 
-    def on_state(self, mid, tries, bad):
+    def on_state(self, mid, tries, bad, able):
         rates, self.rates = self.rates, {}
         hub, kinds = self.hub, self.hub.site.kinds
         share = bad / tries if tries else 0.0
@@ -286,30 +286,30 @@
         if hub.now >= self.look_at and rates and hub.site.throttle != "none":
             self.look_at = hub.now + LOOK
             coming = sum(sum(r.values()) for r in rates.values())
-            self.done.append(((tries - bad) * S / SHORT, tries * S / SHORT, self.granted))
+            self.done.append(((tries - bad) * S / SHORT / able, tries * S / SHORT, self.granted))
             if mid > HIGH * hub.target:
                 most = max(done for done, *_ in self.done)
                 self.full = most if self.goal is None else max(most, AGAIN * self.goal)
                 self.goal = DRAIN * self.full
                 self.look_at = hub.now + hub.timeout // 2 + 2 * hub.site.report_cycle
-                hub.say(f"overload: {self.goal:.0f} of {coming:.0f} reqs a second let in")
+                hub.say(f"overload: {self.goal * able:.0f} of {coming:.0f} reqs a second let in")
             elif self.goal is not None and mid < LOW * hub.target:
                 self.goal = max(FULL * self.full, self.goal * GROW)
-                if self.goal > coming:
+                if self.goal * able > coming:
                     self.goal = None
                     hub.say("overload over: all let in")
-            self.shed(rates, coming)
+            self.shed(rates, coming, able)
         for kind in kinds:
             kind.actor.retry = 0 if hub.now < self.calm_at else 1
         hub.channel.tell("levels", [(k, k.actor.level, k.actor.retry) for k in kinds])
 
-    def shed(self, rates, coming):
+    def shed(self, rates, coming, able):
         """Sheds the least credit first, as much as the reqs let in exceed what was lately done."""
         over = 0.0
         if self.goal is not None:
             rows = [r for r in self.done if r[2]]
             truth = sum(r[1] for r in rows) / sum(r[2] for r in rows) if len(rows) > 3 else 1.0
-            over = max(0.0, coming - self.goal / min(1.0, max(TRUTH, truth)))
+            over = max(0.0, coming - self.goal * able / min(1.0, max(TRUTH, truth)))
         self.granted = coming - over if over else 0.0
         for kind in sorted(self.hub.site.kinds, key=lambda k: k.credit):
             come = [r[kind] for r in rates.values()]
