--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -40,7 +40,7 @@
 SLOWEST = 8              # x; a channel may run so much slower than told: the ledger counts on no more than that
 URGENT, ORDINARY = 0.85, 0.3    # of the lines that may wait: removals and joiners; weights and repeats
 SPARE = 6                # messages to a proxy kept for removals where messages are limited
-TRUTH = 0.4              # least part of what levels grant that is believed to come: repeats may be denied like first tries
+NEAR, NUDGE, BOOST = 0.95, 1.10, 4.0    # of the goal tried, below which levels grant more; and the most, as repeats may be denied again
 HIGH, LOW = 0.6, 0.4   # of the response target: median latency where load is shed, and let in again
 DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
 DRAIN, FULL = 0.75, 0.95   # x the most lately done: let in until the queues are gone, and then
@@ -170,7 +170,7 @@
         if self.joined:
             rates = {}
             for kind in self.hub.site.kinds:
-                rows = [r for r in self.samples if r[1] is kind and r[0] > self.hub.now - WINDOW]
+                rows = [r for r in self.samples if r[1] is kind and r[0] > self.hub.now - SHORT]
                 span = sum(r[4] for r in rows)
                 rates[kind] = (sum(r[2] for r in rows) * S / span if span else
                                self.rate / len(self.hub.site.kinds))
@@ -271,7 +271,7 @@
     def __init__(self, hub):
         super().__init__(hub)
         self.rates, self.goal, self.look_at, self.calm_at = {}, None, 0, 0
-        self.full = self.granted = 0.0
+        self.full, self.boost = 0.0, 1.0
         self.done = deque(maxlen=DONE_KEEP)
 
     def on_demand(self, px, rates):
@@ -286,18 +286,23 @@
         if hub.now >= self.look_at and rates and hub.site.throttle != "none":
             self.look_at = hub.now + LOOK
             coming = sum(sum(r.values()) for r in rates.values())
-            self.done.append(((tries - bad) * S / SHORT / able, tries * S / SHORT, self.granted))
+            self.done.append((tries - bad) * S / SHORT / able)
+            tried = tries * S / SHORT / able
             if mid > HIGH * hub.target:
-                most = max(done for done, *_ in self.done)
-                self.full = most if self.goal is None else max(most, AGAIN * self.goal)
+                self.full = max(self.done) if self.goal is None else AGAIN * self.goal
                 self.goal = DRAIN * self.full
                 self.look_at = hub.now + hub.timeout // 2 + 2 * hub.site.report_cycle
                 hub.say(f"overload: {self.goal * able:.0f} of {coming:.0f} reqs a second let in")
             elif self.goal is not None and mid < LOW * hub.target:
-                self.goal = max(FULL * self.full, self.goal * GROW)
+                if tried < NEAR * self.goal:
+                    self.boost = min(BOOST, self.boost * NUDGE)
+                else:
+                    self.goal = max(FULL * self.full, self.goal * GROW)
                 if self.goal * able > coming:
                     self.goal = None
                     hub.say("overload over: all let in")
+            if self.goal is None or tried > self.goal:
+                self.boost = max(1.0, self.boost / NUDGE)
             self.shed(rates, coming, able)
         for kind in kinds:
             kind.actor.retry = 0 if hub.now < self.calm_at else 1
@@ -305,12 +310,7 @@
 
     def shed(self, rates, coming, able):
         """Sheds the least credit first, as much as the reqs let in exceed what was lately done."""
-        over = 0.0
-        if self.goal is not None:
-            rows = [r for r in self.done if r[2]]
-            truth = sum(r[1] for r in rows) / sum(r[2] for r in rows) if len(rows) > 3 else 1.0
-            over = max(0.0, coming - self.goal * able / min(1.0, max(TRUTH, truth)))
-        self.granted = coming - over if over else 0.0
+        over = max(0.0, coming - self.goal * able * self.boost) if self.goal is not None else 0.0
         for kind in sorted(self.hub.site.kinds, key=lambda k: k.credit):
             come = [r[kind] for r in rates.values()]
             cut = min(over, 0.97 * sum(come))
