--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -44,6 +44,7 @@
 HIGH, LOW = 0.6, 0.4   # of the response target: median latency where load is shed, and let in again
 DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
 DRAIN, FULL = 0.75, 0.95   # x the most lately done: let in until the queues are gone, and then
+FALLS = 0.9              # x the last look's latency: a queue that shrinks so is left to drain
 AGAIN, GROW = 0.85, 1.05 # x the last goal where a queue comes back; and a look while answers are short
 LOOK = 1 * S             # ns; between two looks at the load
 LEVEL_MOVE = 0.08        # share; a level moves no less, each costs a line at every proxy
@@ -271,7 +272,7 @@
     def __init__(self, hub):
         super().__init__(hub)
         self.rates, self.goal, self.look_at, self.calm_at = {}, None, 0, 0
-        self.full, self.boost = 0.0, 1.0
+        self.full, self.mid, self.boost = 0.0, 0.0, 1.0
         self.done = deque(maxlen=DONE_KEEP)
 
     def on_demand(self, px, rates):
@@ -288,8 +289,9 @@
             coming = sum(sum(r.values()) for r in rates.values())
             self.done.append((tries - bad) * S / SHORT / able)
             tried = tries * S / SHORT / able
-            if mid > HIGH * hub.target:
-                self.full = max(self.done) if self.goal is None else AGAIN * self.goal
+            falls, self.mid = mid < FALLS * self.mid, mid
+            if mid > HIGH * hub.target and not (self.goal and falls):
+                self.full = max(self.done) if self.goal is None else AGAIN * max(self.full, self.goal)
                 self.goal = DRAIN * self.full
                 self.look_at = hub.now + hub.timeout // 2 + 2 * hub.site.report_cycle
                 hub.say(f"overload: {self.goal * able:.0f} of {coming:.0f} reqs a second let in")
