--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -171,7 +171,7 @@
         if self.joined:
             rates = {}
             for kind in self.hub.site.kinds:
-                rows = [r for r in self.samples if r[1] is kind and r[0] > self.hub.now - SHORT]
+                rows = [r for r in self.samples if r[1] is kind and r[0] > self.hub.now - WINDOW]
                 span = sum(r[4] for r in rows)
                 rates[kind] = (sum(r[2] for r in rows) * S / span if span else
                                self.rate / len(self.hub.site.kinds))
