Weights go without waiting for the last answers

Cause: one slow or silent proxy held all weight changes of its zone's table back. Every order still passes the ledger, and marks still requeue what is stale.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -22,7 +22,6 @@
 RATIO = 1.4              # x; most that latency counts for at once: past it, it tells of a queue, not of speed
 LOADED = 0.15            # share off the median told load: a backend so far off is not moved further off
 HEARD = 8                # tries in WINDOW; fewer say nothing, the backend counts as average
-CRAWL, FAST = 3.0, 0.5   # x median latency, and the larger step down past it: no chance does that
 CAP_LOW, CAP_HIGH = 0.25, 3.0   # x average: below, a backend is hardly heard; above, one carries too much
 HOME = 0.9               # share of a zone's reqs planned to stay home; the rest goes everywhere, to spread a loss
 SICK = 0.35              # share errored above the peers' median: past what chance does to a dozen tries
@@ -222,8 +221,7 @@
             want = min(CAP_HIGH, max(CAP_LOW, value / mean))
             off = (r.load or usual) - usual
             if abs(want / r.be.cap - 1) > MOVE and (off * (want - r.be.cap) <= 0 or abs(off) <= LOADED * usual):
-                step = FAST if r.long[2] > CRAWL * mid else STEP
-                caps[r.be] = r.be.cap * min(1 + STEP, max(1 - step, want / r.be.cap))
+                caps[r.be] = r.be.cap * min(1 + STEP, max(1 - STEP, want / r.be.cap))
                 r.be.tell("cap", caps[r.be])
 
     def judge(self, rows):
@@ -482,12 +480,11 @@
                     binds.append((px, tab))
             self.queue[tab] = self.hub.now + min(RETRY_CAP, PATIENCE << min(tab.fails, 4))
             tab.fails += 1
-        elif not any(px.open for px in users):
+        elif moved and self.fits({px: len(moved) for px in users}, ORDINARY):
+            self.put(tab, moved)
+        elif not moved and not any(px.open for px in users):
             tab.fails = 0
-            if not moved:
-                del self.queue[tab]
-            elif self.fits({px: len(moved) for px in users}, ORDINARY):
-                self.put(tab, moved)
+            del self.queue[tab]
 
     def removals(self, joined, users):
         """Outside the queue and its delays: urgent until sent; a proxy that leaves its mark open is bound
