--- a/embertray/benchlink/wire.py
+++ b/embertray/benchlink/wire.py
@@ -86,7 +86,7 @@
 class Instance:
     """One controller: its module, and the ids of the objects that the module deals in."""
 
-    def __init__(self, seed, raw):
+    def __init__(self, seed, raw, clock):
         self.raw = raw
         self.backends, self.proxies, self.zones, self.tables = {}, {}, {}, {}
         self.marks, self.next_mark, self.next_table = {}, 0, 0
@@ -113,7 +113,7 @@
             self.figure("contract.cold-from", 1.0), self.time("contract.warm-after"),
             self.figure("contract.fall-multiple"), self.time("contract.fall"),
             self.time("contract.drain-grace"), self.figure("fees.cross-zone"),
-            not self.yes("contract.dropped-stay-open")))
+            not self.yes("contract.dropped-stay-open")), clock)
 
     def text(self, key, other=""):
         return self.raw.get(key, other)
@@ -281,7 +281,7 @@
                 if self.news:
                     self.news.entries.append(self.instances[self.who].entry(got))
         elif name == "ENLIST":
-            self.instances[self.who] = Instance(got["salt"], raw)
+            self.instances[self.who] = Instance(got["salt"], raw, self.clock)
             self.todo[self.who] = []
         elif name == "KILLED":
             self.instances.pop(self.who, None)
--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -1,7 +1,7 @@
 """All of embertray's decisions.
 
-How to call: make one Controller(seed, deployment) an instance, then orders = controller.step(now, events) for
-each batch. `now` is whole nanoseconds; events and orders are the types of embertray/interface.py. No clock,
+How to call: make one Controller(seed, deployment, now) an instance, then orders = controller.step(now, events)
+for each batch. `now` is whole nanoseconds; events and orders are the types of embertray/interface.py. No clock,
 thread or global is used: the same events give the same orders. docs/design.md tells what is from the design.
 """
 from collections import deque, namedtuple
@@ -42,6 +42,7 @@
 FALLS = 0.9              # x the last look's latency: a queue that shrinks so is left to drain
 AGAIN, GROW = 0.85, 1.05 # x the last goal where a queue comes back; and a look while answers are short
 NEAR, NUDGE, BOOST = 0.95, 1.1, 4.0   # of the goal: if less is tried, levels grant more; a look; at most
+LET_LEAST = 0.3          # of what comes, let in at the least: a jam can hide all that could be done
 LOOK = 1 * S             # ns; between two looks at the load
 LEVEL_MOVE = 0.08        # share; a level moves no less: each move costs a line at every proxy
 SHED_MOST = 0.97         # of a request kind at most, so that what is let in is still heard
@@ -274,7 +275,8 @@
 
     def __init__(self, hub):
         super().__init__(hub)
-        self.rates, self.look_at, self.calm_at, self.done = {}, 0, 0, deque(maxlen=DONE_KEEP)
+        self.rates, self.look_at, self.done = {}, 0, deque(maxlen=DONE_KEEP)
+        self.calm_at = hub.now + hub.timeout     # after a restart a jam is not known yet
         self.goal, self.full, self.mid, self.boost = None, 0.0, 0.0, 1.0    # goal, full: a unit of capacity
 
     def on_demand(self, px, rates):
@@ -290,7 +292,8 @@
             self.done.append((tries - bad) * S / SHORT / able)
             falls, self.mid = mid < FALLS * self.mid, mid
             if mid > HIGH * hub.target and not (self.goal and falls):
-                self.full = max(self.done) if self.goal is None else AGAIN * max(self.full, self.goal)
+                known = max(self.done) if self.goal is None else AGAIN * max(self.full, self.goal)
+                self.full = max(known, LET_LEAST * coming / able)
                 self.goal = DRAIN * self.full
                 self.look_at = hub.now + hub.timeout // 2 + 2 * hub.site.report_cycle
                 hub.say(f"overload: {self.goal * able:.0f} of {coming:.0f} reqs a second let in")
@@ -373,7 +376,7 @@
         super().__init__(hub)
         self.tabs, self.queue, self.sweep_at, self.levels = {}, {}, 0, {}
         self.joins, self.out, self.back, self.withdrawn, self.urgent = {}, {}, {}, {}, False
-        self.flight, self.took, self.lines, self.sets = deque(), deque(maxlen=8), {}, []
+        self.proof_at, self.flight, self.took, self.lines, self.sets = hub.now, deque(), deque(maxlen=8), {}, []
 
     def on_want(self, zone, want):
         tab = self.tabs.setdefault(zone, Tab())
@@ -401,14 +404,13 @@
     def on_through(self, mark, took):
         self.took.append(took)
         if any(m is mark for m, *_ in self.flight):
+            self.proof_at = self.hub.now
             while self.flight[0][0] is not mark:
                 self.flight.popleft()
 
     def waiting(self):
         """Lines that may still wait: all since the last mark known to be through, less the slowest pace."""
-        if not self.flight:
-            return 0.0
-        gone = (self.hub.now - self.flight[0][1]) * self.hub.site.channel_rate / SLOWEST / S
+        gone = (self.hub.now - self.proof_at) * self.hub.site.channel_rate / SLOWEST / S
         return max(0.0, sum(n for *_, n in self.flight) - gone)
 
     def patience(self):
@@ -467,6 +469,9 @@
             for px in self.lines:
                 px.open.append((mark, now))
                 px.sent.append(now)
+            if not self.waiting():
+                self.flight.clear()
+                self.proof_at = now
             self.flight.append((mark, now, sum(n + hub.site.head + 1 for n in self.lines.values())))
 
     def push(self, tab, users, binds):
@@ -528,8 +533,8 @@
 class Controller:
     """One instance. step() puts a batch's events into inboxes, empties them in one loop, returns the orders."""
 
-    def __init__(self, seed, site):
-        self.site, self.now, self.orders = site, 0, []
+    def __init__(self, seed, site, now=0):
+        self.site, self.now, self.orders = site, now, []
         self.ready, self.bes, self.pxs, self.beat_at = deque(), [], [], 0
         self.all_in = ALL_RATE if site.throttle == "rate" else 1.0
         self.timeout = max((k.client_timeout for k in site.kinds), default=S)
