Scenario tests; capacity learnt only from time warm and well

Tests found: levels stuck just under all (the last step was under the least move); a backend back from a cut lost its learnt capacity to its own low rates; early done rates divided by a window not yet full.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -68,7 +68,7 @@
 
 Heard = namedtuple("Heard", "at tries errored latency load")
 Came = namedtuple("Came", "at kind reqs span")
-Figures = namedtuple("Figures", "be long short warm load newest")
+Figures = namedtuple("Figures", "be long span short warm load newest")
 Row = namedtuple("Row", "level retry")      # a request kind's row: what is let in, how it is tried again
 
 
@@ -78,13 +78,14 @@
     def __init__(self, hub, handle):
         super().__init__(hub)
         self.handle, self.zone, self.state, self.started = handle, None, None, 0
-        self.cap, self.health, self.deaf_until, self.since = 1.0, 1.0, 0, hub.now
+        self.cap, self.health, self.deaf_until, self.since, self.new = 1.0, 1.0, 0, hub.now, hub.now
         self.samples = deque(maxlen=KEEP)
 
     def on_listed(self, entry):
         anew = entry.state == "ready" and entry.started > self.started
         if anew:
             self.health, self.deaf_until, self.since = 1.0, 0, self.hub.now
+            self.new = entry.started + self.hub.site.warm_after
             self.samples.clear()
         if entry.state != "ready" and self.state != entry.state:
             self.hub.channel.tell("remove", self)
@@ -103,9 +104,9 @@
             load = next((ev.load[name] for name in ("busy", "waiting", "held") if name in ev.load), None)
             self.samples.append(Heard(self.hub.now, ev.tries, min(ev.errored, ev.tries), ev.latency, load))
 
-    def over(self, span):
+    def over(self, start):
         """Tries, errored, and mean latency with each error counted as a client time-out."""
-        rows = [r for r in self.samples if r.at > self.hub.now - span]
+        rows = [r for r in self.samples if r.at > start]
         tries, bad = sum(r.tries for r in rows), sum(r.errored for r in rows)
         took = sum((r.tries - r.errored) * r.latency + r.errored * self.hub.timeout for r in rows)
         return tries, bad, took / tries if tries else 0
@@ -121,11 +122,12 @@
 
     def on_beat(self):
         if self.state == "ready":
+            start = max(self.hub.now - WINDOW, self.new)    # what it did cold or sick tells nothing of capacity
             newest = [r for r in self.samples if r.at > self.hub.now - self.hub.site.report_cycle * 3 // 2]
             loads = [r.load for r in self.samples if r.load is not None and r.at > self.hub.now - WINDOW]
             load, done = sum(loads) / len(loads) if loads else None, sum(r.tries - r.errored for r in newest)
             self.hub.planner.tell("figures", Figures(
-                self, self.over(WINDOW), self.over(SHORT), self.warmth(), load,
+                self, self.over(start), self.hub.now - start, self.over(self.hub.now - SHORT), self.warmth(), load,
                 (sum((r.tries - r.errored) * r.latency for r in newest), done)))
 
     def on_cap(self, cap):
@@ -137,6 +139,7 @@
             self.deaf_until = self.hub.now + 2 * self.hub.site.report_cycle + self.hub.site.way_max
             self.samples.clear()
         self.health, self.since = health, self.hub.now
+        self.new = self.hub.now + (self.hub.site.report_cycle if health >= 1 else 0)
 
 
 class Px(Actor):
@@ -198,7 +201,8 @@
         caps = {r.be: r.be.cap for r in rows}
         if self.hub.now >= self.next_solve:
             self.next_solve = self.hub.now + SOLVE
-            self.learn([r for r in rows if r.long[0] >= HEARD and r.warm >= 1 and r.be.health >= 1], caps)
+            self.learn([r for r in rows if r.long[0] >= HEARD and r.span >= SOLVE
+                        and r.warm >= 1 and r.be.health >= 1], caps)
             self.judge_back(rows)
         health = self.judge(rows)
         done = sum(r.newest[1] for r in rows)
@@ -214,7 +218,7 @@
         if len(heard) < 2:
             return
         mid, ease = median(r.long[2] for r in heard), EASE * self.hub.target
-        est = {r: (r.long[0] - r.long[1]) * min(RATIO, max(1 / RATIO, (mid + ease) / (r.long[2] + ease)))
+        est = {r: (r.long[0] - r.long[1]) / r.span * min(RATIO, max(1 / RATIO, (mid + ease) / (r.long[2] + ease)))
                for r in heard}
         mean = sum(est.values()) / len(est) or 1.0
         usual = median([r.load for r in heard if r.load is not None] or [0])
@@ -246,7 +250,7 @@
         return health
 
     def judge_back(self, rows):
-        for be, _, (tries, bad, _), *_ in rows:
+        for be, _, _, (tries, bad, _), *_ in rows:
             if be.health < 1 and self.hub.now > be.deaf_until and (
                     tries >= BACK_TRIES and bad <= tries / 4 or tries == 0 and self.hub.now - be.since > MUTE):
                 be.tell("health", min(1.0, be.health * BACK))
@@ -266,7 +270,6 @@
             part = {z: (keep * flow[z] / want if want else 0.0) / cap[z] + 1 - keep for z in zones}
             top = part.get(zone) or 1.0
             self.hub.channel.tell("want", zone, {be: w * part[be.zone] / top for be, w in eff.items()})
-        self.hub.channel.tell("send")
 
 
 class Levels(Actor):
@@ -288,8 +291,9 @@
             self.calm_at = hub.now + hub.timeout
         if hub.now >= self.look_at and rates and hub.site.throttle != "none":
             self.look_at = hub.now + LOOK
-            coming, tried = sum(sum(r.values()) for r in rates.values()), tries * S / SHORT / able
-            self.done.append((tries - bad) * S / SHORT / able)
+            span = min(SHORT, max(BEAT, hub.site.report_cycle, hub.now - hub.born)) * able / S
+            coming, tried = sum(sum(r.values()) for r in rates.values()), tries / span
+            self.done.append((tries - bad) / span)
             falls, self.mid = mid < FALLS * self.mid, mid
             if mid > HIGH * hub.target and not (self.goal and falls):
                 known = max(self.done) if self.goal is None else AGAIN * max(self.full, self.goal)
@@ -310,7 +314,7 @@
             self.shed(rates, coming - self.goal * able * self.boost if self.goal is not None else 0.0)
         retry = 0 if hub.now < self.calm_at else 1      # 1: only after proof that the first never ran
         hub.table = {kind: Row(row.level, retry) for kind, row in hub.table.items()}
-        hub.channel.tell("levels", hub.table)
+        hub.channel.tell("send", hub.table)
 
     def shed(self, rates, over):
         """Sheds the least credit first."""
@@ -321,7 +325,8 @@
             left, level = sum(come) - cut, self.hub.all_in
             if cut > 0:
                 level = self.limit(come, left) if self.hub.site.throttle == "rate" else left / sum(come)
-            if abs(level / self.hub.table[kind].level - 1) > LEVEL_MOVE:
+            old = self.hub.table[kind].level
+            if abs(level / old - 1) > LEVEL_MOVE or level == self.hub.all_in != old:
                 self.hub.table[kind] = Row(level, self.hub.table[kind].retry)
 
     @staticmethod
@@ -384,9 +389,6 @@
         if self.changes(tab):
             self.queue.setdefault(tab, self.hub.now)
 
-    def on_levels(self, levels):
-        self.levels = levels
-
     def on_join(self, px):
         self.joins[px] = self.urgent = True
 
@@ -434,10 +436,10 @@
             self.lines[px] = self.lines.get(px, 0) + n
         return True
 
-    def on_send(self):
+    def on_send(self, levels):
         """One message a proxy: joiners and removals first, then cuts and levels, repeats, and weights last."""
         hub, now = self.hub, self.hub.now
-        self.lines, self.urgent, self.sets = {}, False, []
+        self.levels, self.lines, self.urgent, self.sets = levels, {}, False, []
         joined, binds = [px for px in hub.pxs if px.joined], []
         users = {tab: [px for px in joined if px.table is tab] for tab in self.tabs.values()}
         if now >= self.sweep_at:
@@ -534,7 +536,7 @@
     """One instance. step() puts a batch's events into inboxes, empties them in one loop, returns the orders."""
 
     def __init__(self, seed, site, now=0):
-        self.site, self.now, self.orders = site, now, []
+        self.site, self.now, self.born, self.orders = site, now, now, []
         self.ready, self.bes, self.pxs, self.beat_at = deque(), [], [], 0
         self.all_in = ALL_RATE if site.throttle == "rate" else 1.0
         self.timeout = max((k.client_timeout for k in site.kinds), default=S)
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,161 @@
+"""Plays scenario files to the module. The notation is told in tests/scenes/README.txt."""
+import operator
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from embertray import interface as i  # noqa: E402
+from embertray.choice import Controller  # noqa: E402
+
+UNITS = {"ms": 10**6, "s": 10**9}
+COMPARE = {"<": operator.lt, ">": operator.gt, "=": lambda a, b: abs(a - b) < 1e-6}
+
+
+def value(text):
+    for unit in ("ms", "s"):
+        if text.endswith(unit) and text[:-len(unit)].replace(".", "").isdigit():
+            return int(float(text[:-len(unit)]) * UNITS[unit])
+    if text in ("yes", "no"):
+        return text == "yes"
+    try:
+        return float(text) if "." in text else int(text)
+    except ValueError:
+        return text
+
+
+class Stage:
+    def __init__(self):
+        self.things, self.now, self.orders, self.todo = {}, 10 * UNITS["s"], [], []
+        self.site, self.kinds, self.module, self.steady, self.answers = {}, {}, None, {}, True
+        self.tables, self.bound, self.out, self.levels, self.open = {}, {}, set(), {}, {}
+        self.messages = []
+
+    def thing(self, kind, name):
+        return self.things.setdefault((kind, name), kind(name))
+
+    def do_site(self, *pairs):
+        self.site.update((k, value(v)) for k, v in (p.split("=") for p in pairs))
+
+    def do_kind(self, name, *pairs):
+        self.kinds[name] = i.ReqKind(**{k: value(v) for k, v in (p.split("=") for p in pairs)}, door=name)
+
+    def do_start(self, seed="1"):
+        given = dict(report_cycle=10**9, way_max=3 * 10**8, warm_after=10**10, cold_from=0.2, fall_multiple=4.0,
+                     pending_max=1500.0, channel_rate=1000.0, head=4.0, throttle="share",
+                     messages_window=10**10) | self.site
+        zones = [self.thing(i.Zone, z) for z in given.pop("zones", "north").split(",")]
+        for thing in self.things.values():
+            thing.actor = None
+        self.tables, self.levels, self.open = {}, {}, {}
+        self.module = Controller(int(seed), i.Deployment(list(self.kinds.values()), zones, **given), self.now)
+
+    def do_list(self, how, *rows):
+        entries = []
+        for row in rows:
+            name, zone, state, started = (row.split(":") + ["north", "ready", "0"][row.count(":"):])[:4]
+            began = self.now - value(started) if started != "0" else 0
+            entries.append(i.Entry(self.thing(i.Backend, name), self.thing(i.Zone, zone), state, began))
+        self.todo.append(i.ListNews(how, entries))
+
+    def do_join(self, name, zone="north", *flags):
+        self.bound.pop(name, None)
+        self.todo.append(i.Joined(self.thing(i.Proxy, name), self.thing(i.Zone, zone), 10.0, "fresh" in flags))
+
+    def do_left(self, name):
+        self.open.pop(name, None)
+        self.todo.append(i.Left(self.thing(i.Proxy, name)))
+
+    def do_answers(self, how):
+        self.answers = how == "on"
+
+    def do_hear(self, name, *pairs):
+        """Every second from now on, the same report; tries=0 ends it."""
+        self.steady[name] = {k: value(v) for k, v in (p.split("=") for p in pairs)}
+
+    def do_come(self, name, kind, reqs):
+        self.steady[(name, kind)] = value(reqs)
+
+    def do_at(self, when):
+        """Steps to a time from the start, a quarter of a second each, with the steady reports at each second."""
+        self.step()
+        self.orders, until = [], 10 * UNITS["s"] + value(when)
+        while self.now < until:
+            self.now += 250 * UNITS["ms"]
+            if self.now % UNITS["s"] == 0:
+                for key, what in self.steady.items():
+                    if isinstance(key, tuple):
+                        self.todo.append(i.Arrivals(self.thing(i.Proxy, key[0]), self.kinds[key[1]], what,
+                                                    span=UNITS["s"]))
+                    else:
+                        load = {k: what[k] for k in ("busy", "waiting", "held") if k in what}
+                        self.todo.append(i.Heard(self.thing(i.Backend, key), self.thing(i.Zone, "north"),
+                                                 what["tries"], what.get("errored", 0), what.get("latency", 0),
+                                                 UNITS["s"], load))
+            self.step()
+
+    def step(self):
+        if self.answers:
+            for name, marks in self.open.items():
+                self.todo += [i.Answered(self.thing(i.Proxy, name), m, 10**8) for m in marks]
+            self.open = {}
+        todo, self.todo = self.todo, []
+        orders = self.module.step(self.now, todo)
+        self.orders += orders
+        self.apply(orders)
+
+    def apply(self, orders):
+        touched = set()
+        for o in orders:
+            if isinstance(o, i.SetLine):
+                self.tables.setdefault(o.table, {})[o.backend.door] = o.weight
+                touched |= {p for p, t in self.bound.items() if t is o.table}
+            elif isinstance(o, i.SetLevel):
+                self.levels.update({k.door: (o.level, o.retry) for k in o.kinds})
+                touched |= {p for p, t in self.bound.items() if t is o.table}
+            elif isinstance(o, i.Bind):
+                self.bound[o.proxy.door] = o.table
+                touched.add(o.proxy.door)
+            elif isinstance(o, i.Withdraw):
+                (self.out.add if o.out else self.out.discard)(o.backend.door)
+                touched |= set(self.bound)
+            elif isinstance(o, i.PutMark):
+                for name in touched:
+                    self.open.setdefault(name, []).append(o.mark)
+        self.messages += [(self.now, name) for name in touched]
+
+    def see(self, what, *words):
+        """One line of what must be seen; gives a text when it is not."""
+        if what in ("bind", "subscribe", "log"):
+            seen = [o for o in self.orders if isinstance(o, {"bind": i.Bind, "subscribe": i.Subscribe,
+                                                             "log": i.Log}[what])]
+            if what != "subscribe":
+                seen = [o for o in seen if " ".join(words) in (o.proxy.door if what == "bind" else o.text)]
+            return None if seen else "not ordered"
+        if what in ("out", "in"):
+            return None if (words[0] in self.out) == (what == "out") else f"out are {sorted(self.out)}"
+        name, how, than = words[-3:]
+        name = words[0] if what == "orders" else name
+        if what == "line":
+            got = self.tables[self.bound[words[0]]].get(name, 0)
+        elif what == "messages":
+            got = sum(1 for at, who in self.messages if who == name and at > self.now - 10 * UNITS["s"])
+        elif what == "orders":
+            got = sum(1 for o in self.orders if type(o).__name__.lower() == name)
+        else:
+            got = self.levels[name][what == "retry"]
+        return None if COMPARE[how](got, value(than)) else f"it is {got}"
+
+
+def play(path):
+    stage = Stage()
+    for number, text in enumerate(path.read_text().splitlines(), 1):
+        words = text.split("#")[0].split()
+        if words and words[0] == "see":
+            stage.step()
+            no = words[1] == "no"
+            wrong = stage.see(*words[1 + no:])
+            if bool(wrong) != no:
+                raise AssertionError(f"{path.name}, line {number}: {text.strip()}: {wrong or 'it was seen'}")
+        elif words:
+            getattr(stage, "do_" + words[0])(*words[1:])
+    return stage
