--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -22,13 +22,13 @@
 RATIO = 1.4              # x; most that latency counts for at once: past it, it tells of a queue, not of speed
 LOADED = 0.15            # share off the median told load: a backend so far off is not moved further off
 HEARD = 8                # tries in WINDOW; fewer say nothing, the backend counts as average
-CAP_LOW, CAP_HIGH = 0.25, 3.0   # x average: below, a backend is hardly heard; above, one carries too much
+CAP_LOW, CAP_HIGH = 0.3, 2.0   # x average: below, a backend is hardly heard; above, one carries too much
 HOME = 0.9               # share of a zone's reqs planned to stay home; the rest goes everywhere, to spread a loss
 SICK = 0.35              # share errored above the peers' median: past what chance does to a dozen tries
 SICK_TRIES = 8           # tries in SHORT before a backend can be called sick
 SICK_MOST = 0.35         # share of the ready ones cut at most: more is no sick few but a general trouble
 TRICKLE = 0.06           # of its weight at the least, for a sick one: enough to hear of it within seconds
-BACK, BACK_TRIES = 2.0, 3       # x weight a solve on the way back, and the good tries it takes
+BACK, BACK_TRIES = 2.0, 2       # x weight a solve on the way back, and the good tries it takes
 MUTE = 12 * S            # ns; a sick one not heard for so long gets a step back all the same
 COLD_PART, COLD_TOP = 0.38, 0.95   # of the load a cold one falls under; and the most until warm
 PATIENCE = 1 * S         # ns; the least a mark may take: proxies stand still while they apply tables
@@ -250,7 +250,7 @@
         return health
 
     def judge_back(self, rows):
-        for be, _, _, (tries, bad, _), *_ in rows:
+        for be, (tries, bad, _), *_ in rows:
             if be.health < 1 and self.hub.now > be.deaf_until and (
                     tries >= BACK_TRIES and bad <= tries / 4 or tries == 0 and self.hub.now - be.since > MUTE):
                 be.tell("health", min(1.0, be.health * BACK))
