--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -39,9 +39,7 @@
 HIGH, LOW = 0.6, 0.4     # of the response target: mean latency where load is shed, and let in again
 DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
 DRAIN, FULL = 0.75, 0.95 # x the most lately done: let in until the queues are gone, and then
-FALLS = 0.9              # x the last look's latency: a queue that shrinks so is left to drain
 AGAIN, GROW = 0.85, 1.05 # x the last goal where a queue comes back; and a look while answers are short
-NEAR, NUDGE, BOOST = 0.95, 1.1, 4.0   # of the goal: if less is tried, levels grant more; a look; at most
 LET_LEAST = 0.3          # of what comes, let in at the least: a jam can hide all that could be done
 LOOK = 1 * S             # ns; between two looks at the load
 LEVEL_MOVE = 0.08        # share; a level moves no less: each move costs a line at every proxy
@@ -280,7 +278,7 @@
         super().__init__(hub)
         self.rates, self.look_at, self.done = {}, 0, deque(maxlen=DONE_KEEP)
         self.calm_at = hub.now + hub.timeout     # after a restart a jam is not known yet
-        self.goal, self.full, self.mid, self.boost = None, 0.0, 0.0, 1.0    # goal, full: a unit of capacity
+        self.goal, self.full = None, 0.0         # reqs a second a unit of capacity
 
     def on_demand(self, px, rates):
         self.rates[px] = rates
@@ -292,26 +290,20 @@
         if hub.now >= self.look_at and rates and hub.site.throttle != "none":
             self.look_at = hub.now + LOOK
             span = min(SHORT, max(BEAT, hub.site.report_cycle, hub.now - hub.born)) * able / S
-            coming, tried = sum(sum(r.values()) for r in rates.values()), tries / span
+            coming = sum(sum(r.values()) for r in rates.values())
             self.done.append((tries - bad) / span)
-            falls, self.mid = mid < FALLS * self.mid, mid
-            if mid > HIGH * hub.target and not (self.goal and falls):
+            if mid > HIGH * hub.target:
                 known = max(self.done) if self.goal is None else AGAIN * max(self.full, self.goal)
                 self.full = max(known, LET_LEAST * coming / able)
                 self.goal = DRAIN * self.full
                 self.look_at = hub.now + hub.timeout // 2 + 2 * hub.site.report_cycle
                 hub.say(f"overload: {self.goal * able:.0f} of {coming:.0f} reqs a second let in")
             elif self.goal is not None and mid < LOW * hub.target:
-                if tried < NEAR * self.goal:
-                    self.boost = min(BOOST, self.boost * NUDGE)
-                else:
-                    self.goal = max(FULL * self.full, self.goal * GROW)
+                self.goal = max(FULL * self.full, self.goal * GROW)
                 if self.goal * able > coming:
                     self.goal = None
                     hub.say("overload over: all let in")
-            if self.goal is None or tried > self.goal:
-                self.boost = max(1.0, self.boost / NUDGE)
-            self.shed(rates, coming - self.goal * able * self.boost if self.goal is not None else 0.0)
+            self.shed(rates, coming - self.goal * able if self.goal is not None else 0.0)
         retry = 0 if hub.now < self.calm_at else 1      # 1: only after proof that the first never ran
         hub.table = {kind: Row(row.level, retry) for kind, row in hub.table.items()}
         hub.channel.tell("send", hub.table)
