--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -41,6 +41,7 @@
 DRAIN, FULL = 0.75, 0.95 # x the most lately done: let in until the queues are gone, and then
 AGAIN, GROW = 0.85, 1.05 # x the last goal where a queue comes back; and a look while answers are short
 LET_LEAST = 0.3          # of what comes, let in at the least: a jam can hide all that could be done
+WARY = 0.6               # of what comes, while cold ones are listed and most tries fail or none is heard of
 LOOK = 1 * S             # ns; between two looks at the load
 LEVEL_MOVE = 0.08        # share; a level moves no less: each move costs a line at every proxy
 SHED_MOST = 0.97         # of a request kind at most, so that what is let in is still heard
@@ -206,7 +207,7 @@
         done = sum(r.newest[1] for r in rows)
         self.hub.levels.tell("state", sum(r.newest[0] for r in rows) / done if done else 0,
                              sum(r.short[0] for r in rows), sum(r.short[1] for r in rows),
-                             sum(caps[r.be] * r.warm for r in rows) or 1.0)
+                             sum(caps[r.be] * r.warm for r in rows) or 1.0, any(r.warm < 1 for r in rows))
         self.lines({r.be: caps[r.be] * r.warm * health[r.be] for r in rows}, need)
 
     def learn(self, heard, caps):
@@ -277,13 +278,13 @@
     def __init__(self, hub):
         super().__init__(hub)
         self.rates, self.look_at, self.done = {}, 0, deque(maxlen=DONE_KEEP)
-        self.calm_at = hub.now + hub.timeout     # after a restart a jam is not known yet
+        self.calm_at = hub.now + hub.timeout + hub.site.report_cycle  # after a restart a jam is not known yet
         self.goal, self.full = None, 0.0         # reqs a second a unit of capacity
 
     def on_demand(self, px, rates):
         self.rates[px] = rates
 
-    def on_state(self, mid, tries, bad, able):
+    def on_state(self, mid, tries, bad, able, cold):
         rates, self.rates, hub = self.rates, {}, self.hub
         if tries and bad / tries > MOST_FAIL:
             self.calm_at = hub.now + hub.timeout
@@ -303,7 +304,8 @@
                 if self.goal * able > coming:
                     self.goal = None
                     hub.say("overload over: all let in")
-            self.shed(rates, coming - self.goal * able if self.goal is not None else 0.0)
+            over = coming - self.goal * able if self.goal is not None else 0.0
+            self.shed(rates, max(over, (1 - WARY) * coming if cold and hub.now < self.calm_at else 0.0))
         retry = 0 if hub.now < self.calm_at else 1      # 1: only after proof that the first never ran
         hub.table = {kind: Row(row.level, retry) for kind, row in hub.table.items()}
         hub.channel.tell("send", hub.table)
@@ -312,7 +314,7 @@
         """Sheds the least credit first."""
         for kind in sorted(self.hub.site.kinds, key=lambda k: k.credit):
             come = [r[kind] for r in rates.values()]
-            cut = max(0.0, min(over, SHED_MOST * sum(come)))
+            cut = min(over, SHED_MOST * sum(come))
             over -= cut
             left, level = sum(come) - cut, self.hub.all_in
             if cut > 0:
