Less for cold ones where proxies take the emptier of two

Cause: a cold backend is the emptier of most draws, above all in a jam, so its weight is about doubled.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -31,6 +31,7 @@
 BACK, BACK_TRIES = 2.0, 2       # x weight a solve on the way back, and the good tries it takes
 MUTE = 12 * S            # ns; a sick one not heard for so long gets a step back all the same
 COLD_PART, COLD_TOP = 0.38, 0.95   # of the load a cold one falls under; and the most until warm
+TWICE = 0.55             # x for a cold one where proxies take the emptier of two drawn: it wins most draws
 PATIENCE = 1 * S         # ns; the least a mark may take: proxies stand still while they apply tables
 RETRY_CAP = 8 * S        # ns; longest delay between repeats: below the sweep, so a repeat still counts
 SLOWEST = 8              # x; a channel may run so much slower than told: the ledger counts on no more
@@ -39,14 +40,14 @@
 HIGH, LOW = 0.6, 0.4     # of the response target: mean latency where load is shed, and let in again
 DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
 DRAIN, FULL = 0.75, 0.95 # x the most lately done: let in until the queues are gone, and then
-AGAIN, GROW = 0.85, 1.05 # x the last goal where a queue comes back; and a look while answers are short
+AGAIN, GROW = 0.85, 1.03 # x the last goal where a queue comes back; and a look while answers are short
 LET_LEAST = 0.3          # of what comes, let in at the least: a jam can hide all that could be done
 WARY = 0.6               # of what comes, while cold ones are listed and most tries fail or none is heard of
 LOOK = 1 * S             # ns; between two looks at the load
 LEVEL_MOVE = 0.08        # share; a level moves no less: each move costs a line at every proxy
 SHED_MOST = 0.97         # of a request kind at most, so that what is let in is still heard
 ALL_RATE = 10**6         # reqs a second at a proxy: no limit
-MOST_FAIL = 0.4          # errored share past which further tries only add to what makes tries fail
+MOST_FAIL = 0.3          # errored share past which further tries only add to what makes tries fail
 ASK_FIRST, ASK_CAP = 500 * MS, 4 * S     # ns; asking the list again after a failure: first and longest delay
 
 
@@ -117,7 +118,8 @@
         if self.started <= 0 or age >= site.warm_after:
             return 1.0
         told = site.cold_from + (1 - site.cold_from) * age / site.warm_after
-        return min(COLD_TOP, told * (COLD_PART * site.fall_multiple or 1))
+        drawn = TWICE if site.pick == "two" else 1.0
+        return min(COLD_TOP, told * (COLD_PART * site.fall_multiple * drawn or 1))
 
     def on_beat(self):
         if self.state == "ready":
