Cold backends join or rise when a jam is over

Cause: in a jam proxies shun full backends after five failures and the empty cold one gets what is left, whatever its weight; one fell 1.2 s after it was listed. Guards any small or empty newcomer in a jam; costs its capacity while the jam lasts.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -206,11 +206,13 @@
                         and r.warm >= 1 and r.be.health >= 1], caps)
             self.judge_back(rows)
         health = self.judge(rows)
-        done = sum(r.newest[1] for r in rows)
-        self.hub.levels.tell("state", sum(r.newest[0] for r in rows) / done if done else 0,
+        mid = sum(r.newest[0] for r in rows) / (sum(r.newest[1] for r in rows) or 1)
+        # in a jam proxies shun full backends and take the empty one: cold ones join, or rise, when it is over
+        jam = mid > HIGH * self.hub.target and any(r.warm >= 1 for r in rows)
+        self.hub.levels.tell("state", mid,
                              sum(r.short[0] for r in rows), sum(r.short[1] for r in rows),
                              sum(caps[r.be] * r.warm for r in rows) or 1.0, any(r.warm < 1 for r in rows))
-        self.lines({r.be: caps[r.be] * r.warm * health[r.be] for r in rows}, need)
+        self.lines({r.be: caps[r.be] * r.warm * health[r.be] for r in rows if r.warm >= 1 or not jam}, need)
 
     def learn(self, heard, caps):
         """The companion's estimate: done rate x median latency / own, moved past MOVE only, by STEP at most.
