--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -24,28 +24,24 @@
 HEARD = 8                # tries in WINDOW; fewer say nothing, the backend counts as average
 CAP_LOW, CAP_HIGH = 0.3, 2.0   # x average: below, a backend is hardly heard; above, one carries too much
 HOME = 0.9               # share of a zone's reqs planned to stay home; the rest goes everywhere, to spread a loss
-SICK = 0.35              # share errored above the peers' median: past what chance does to a dozen tries
-SICK_TRIES = 8           # tries in SHORT before a backend can be called sick
+SICK, SICK_TRIES = 0.35, 8      # share errored above the peers' median, and of how many tries: past chance
 SICK_MOST = 0.35         # share of the ready ones cut at most: more is no sick few but a general trouble
+BACK, BACK_TRIES, MUTE = 2.0, 2, 12 * S   # x weight a solve on the way back after good tries, or none for so long
 TRICKLE = 0.06           # of its weight at the least, for a sick one: enough to hear of it within seconds
-BACK, BACK_TRIES = 2.0, 2       # x weight a solve on the way back, and the good tries it takes
-MUTE = 12 * S            # ns; a sick one not heard for so long gets a step back all the same
 COLD_PART, COLD_TOP = 0.38, 0.95   # of the load a cold one falls under; and the most until warm
-TWICE = 0.55             # x for a cold one where proxies take the emptier of two drawn: it wins most draws
+TWICE = 0.55             # x for a cold one where proxies take the emptier of two drawn: it wins most
 PATIENCE = 1 * S         # ns; the least a mark may take: proxies stand still while they apply tables
 RETRY_CAP = 8 * S        # ns; longest delay between repeats: below the sweep, so a repeat still counts
 SLOWEST = 8              # x; a channel may run so much slower than told: the ledger counts on no more
 # of the lines that may wait, and messages to a proxy kept back: removals, joiners; cuts, levels; weights
 URGENT, HASTY, ORDINARY = (0.85, 1), (0.6, 4), (0.3, 7)
 HIGH, LOW = 0.6, 0.4     # of the response target: mean latency where load is shed, and let in again
-DONE_KEEP = 10           # looks; the most that was done in them is what the fleet can do
-DRAIN, FULL = 0.75, 0.95 # x the most lately done: let in until the queues are gone, and then
-AGAIN, GROW = 0.85, 1.03 # x the last goal where a queue comes back; and a look while answers are short
-LET_LEAST = 0.3          # of what comes, let in at the least: a jam can hide all that could be done
+LOOK, DONE_KEEP = 1 * S, 10     # ns between looks at the load, and looks whose most done is what can be done
+DRAIN, FULL = 0.75, 0.95 # x the most done: let in until the queues are gone, and then
+AGAIN, GROW = 0.85, 1.03 # x the goal where a queue comes back, and a look while answers are short
+LET_LEAST, SHED_MOST = 0.3, 0.97   # of what comes: let in at the least; and shed of a kind at most, to hear of it
 WARY = 0.6               # of what comes, while cold ones are listed and most tries fail or none is heard of
-LOOK = 1 * S             # ns; between two looks at the load
 LEVEL_MOVE = 0.08        # share; a level moves no less: each move costs a line at every proxy
-SHED_MOST = 0.97         # of a request kind at most, so that what is let in is still heard
 ALL_RATE = 10**6         # reqs a second at a proxy: no limit
 MOST_FAIL = 0.3          # errored share past which further tries only add to what makes tries fail
 ASK_FIRST, ASK_CAP = 500 * MS, 4 * S     # ns; asking the list again after a failure: first and longest delay
@@ -61,10 +57,6 @@
         self.inbox.append((note, what))
         self.hub.ready.append(self)
 
-    def read(self):
-        note, what = self.inbox.popleft()
-        getattr(self, "on_" + note)(*what)
-
 
 Heard = namedtuple("Heard", "at tries errored latency load")
 Came = namedtuple("Came", "at kind reqs span")
@@ -93,11 +85,6 @@
             self.hub.channel.tell("restore", self)
         self.zone, self.state, self.started = entry.zone, entry.state, max(entry.started, self.started)
 
-    def on_dropped(self):
-        if self.state != "gone":
-            self.state = "gone"
-            self.hub.channel.tell("remove", self)
-
     def on_heard(self, ev):
         if self.hub.now >= self.deaf_until and ev.tries > 0:
             # its own word of how loaded it is: the first such figure that reports carry
@@ -202,9 +189,11 @@
         caps = {r.be: r.be.cap for r in rows}
         if self.hub.now >= self.next_solve:
             self.next_solve = self.hub.now + SOLVE
-            self.learn([r for r in rows if r.long[0] >= HEARD and r.span >= SOLVE
-                        and r.warm >= 1 and r.be.health >= 1], caps)
-            self.judge_back(rows)
+            self.learn([r for r in rows if r.long[0] >= HEARD and r.span >= SOLVE and r.be.health >= 1], caps)
+            for be, (tries, bad, _), *_ in rows:
+                if be.health < 1 and self.hub.now > be.deaf_until and (
+                        tries >= BACK_TRIES and bad <= tries / 4 or not tries and self.hub.now - be.since > MUTE):
+                    be.tell("health", min(1.0, be.health * BACK))
         health = self.judge(rows)
         mid = sum(r.newest[0] for r in rows) / (sum(r.newest[1] for r in rows) or 1)
         # in a jam proxies shun full backends and take the empty one: cold ones join, or rise, when it is over
@@ -216,8 +205,8 @@
 
     def learn(self, heard, caps):
         """The companion's estimate: done rate x median latency / own, moved past MOVE only, by STEP at most.
-        A told load vetoes a move that would take a backend further from its peers' load: latency alone shows a
-        full queue late and starves slow machines that have time. Hurts where loads are told wrongly."""
+        A told load vetoes a move further from the peers' load: latency alone starves slow machines that have
+        time. Hurts where loads are told wrongly."""
         if len(heard) < 2:
             return
         mid, ease = median(r.long[2] for r in heard), EASE * self.hub.target
@@ -252,12 +241,6 @@
                 self.hub.say("a backend errs far more than its peers: its weight is cut")
         return health
 
-    def judge_back(self, rows):
-        for be, (tries, bad, _), *_ in rows:
-            if be.health < 1 and self.hub.now > be.deaf_until and (
-                    tries >= BACK_TRIES and bad <= tries / 4 or tries == 0 and self.hub.now - be.since > MUTE):
-                be.tell("health", min(1.0, be.health * BACK))
-
     def lines(self, eff, need):
         """Zone tables hold all listed. Where crossing costs, a part of a zone's reqs stays home as far as its
         own backends' part of the capacity reaches; what it lacks goes where there is some to spare."""
@@ -356,8 +339,8 @@
         if news.how in ("whole", "cached"):
             named = {entry.backend for entry in news.entries}
             for be in self.hub.bes:
-                if be.handle not in named:
-                    be.tell("dropped")
+                if be.handle not in named and be.state != "gone":
+                    be.tell("listed", i.Entry(be.handle, be.zone, "gone"))
 
     def on_beat(self):
         if self.ask_at is not None and self.hub.now >= self.ask_at:
@@ -577,7 +560,9 @@
 
     def empty(self):
         while self.ready:
-            self.ready.popleft().read()
+            part = self.ready.popleft()
+            note, what = part.inbox.popleft()
+            getattr(part, "on_" + note)(*what)
 
     def beat(self):
         if self.now >= self.beat_at:
