First cut the deeper the slower the answers are

Deeper first cut, 0.75 down to 0.45, the next only after a client time-out and two reports, lowering by a tenth.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -34,8 +34,8 @@
 URGENT, HASTY, ORDINARY = (0.85, 1), (0.6, 4), (0.3, 7)
 HIGH, LOW = 0.6, 0.4     # of the response target: mean latency where load is shed, and let in again
 LOOK, DONE_KEEP = 1 * S, 10     # ns between looks at the load, and looks whose most done is what can be done
-DRAIN, FULL = 0.75, 0.95 # x the most done: let in until the queues are gone, and then
-AGAIN, GROW = 0.85, 1.03 # x the goal where a queue comes back, and a look while answers are short
+DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
+AGAIN, GROW = 0.9, 1.03 # x the goal where a queue comes back, and a look while answers are short
 LET_LEAST, SHED_MOST = 0.3, 0.97   # of what comes: let in at least; shed of a kind at most
 LEVEL_MOVE, ALL_RATE = 0.08, 10**6   # share a level moves at least: it costs lines; reqs/s that limit nothing
 MOST_FAIL, WARY = 0.3, 0.6   # errored share past which tries add to the fault; let in then if some are cold
@@ -274,8 +274,8 @@
             if mid > HIGH * hub.target:
                 known = max(self.done) if self.goal is None else AGAIN * max(self.full, self.goal)
                 self.full = max(known, LET_LEAST * coming / able)
-                self.goal = DRAIN * self.full
-                self.look_at = hub.now + hub.timeout // 2 + 2 * hub.site.report_cycle
+                self.goal = max(DEEP, DRAIN * HIGH * hub.target / mid) * self.full
+                self.look_at = hub.now + hub.timeout + 2 * hub.site.report_cycle
                 hub.orders.append(i.Log(f"overload: {self.goal * able:.0f} of {coming:.0f} reqs/s let in"))
             elif self.goal is not None and mid < LOW * hub.target:
                 self.goal = max(FULL * self.full, self.goal * GROW)
