--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -191,7 +191,7 @@
         health = self.judge(rows)
         mid = sum(r.newest[0] for r in rows) / (sum(r.newest[1] for r in rows) or 1)
         # in a jam proxies shun full backends and take the empty one: cold ones join, or rise, when it is over
-        jam = mid > HIGH * self.hub.target and any(r.warm >= 1 for r in rows)
+        jam = mid > LOW * self.hub.target and any(r.warm >= 1 for r in rows)
         self.hub.levels.tell("state", mid,
                              sum(r.short[0] for r in rows), sum(r.short[1] for r in rows),
                              sum(caps[r.be] * r.warm for r in rows) or 1.0, any(r.warm < 1 for r in rows))
