--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -152,15 +152,16 @@
         self.samples.append(Came(self.now, ev.kind, ev.reqs, ev.span))
 
     def on_beat(self):
-        """Its reqs a second by kind, over the samples in WINDOW; what it said on joining until some came."""
+        """Its reqs a second: steady for zone plans, quick by kind for levels; as told until some came."""
         if self.joined:
-            rates, usual = {}, self.rate / (len(self.site.kinds) or 1)
-            for kind in self.site.kinds:
-                rows = [r for r in self.samples if r.kind is kind and r.at > self.now - WINDOW]
-                span = sum(r.span for r in rows)
-                rates[kind] = sum(r.reqs for r in rows) * S / span if span else usual
-            self.hub.planner.tell("demand", self, sum(rates.values()))
-            self.hub.levels.tell("demand", self, rates)
+            kinds = self.site.kinds
+            self.hub.planner.tell("demand", self, sum(self.over(WINDOW, kind) for kind in kinds))
+            self.hub.levels.tell("demand", self, {kind: self.over(SHORT, kind) for kind in kinds})
+
+    def over(self, window, kind):
+        rows = [r for r in self.samples if r.kind is kind and r.at > self.now - window]
+        span = sum(r.span for r in rows)
+        return sum(r.reqs for r in rows) * S / span if span else self.rate / len(self.site.kinds)
 
 
 class Planner(Actor):
@@ -215,7 +216,7 @@
 
     def judge(self, rows):
         """Guards against a backend that errs far more than its peers or is not heard while they are: it keeps
-        the part that it answers. A general trouble moves the quartile too. Hurts where few peers are heard."""
+        the part that it answers. A general trouble moves the quartile. Hurts where few peers are heard."""
         health = {r.be: r.be.health for r in rows}
         many = [r for r in rows if r.short[0] >= SICK_TRIES and r.be.health > TRICKLE]
         share = {r.be: r.short[1] / r.short[0] for r in many}
