--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -29,9 +29,9 @@
 COLD_PART, COLD_TOP = 0.38, 0.95   # of the load a cold one falls under; and the most until warm
 TWICE = 0.55             # x for a cold one where proxies take the emptier of two drawn: it wins most
 PATIENCE, RETRY_CAP = 1 * S, 8 * S   # ns; a mark's least, as proxies stand still; repeats, under the sweep
-SLOWEST = 8              # x; a channel may run so much slower than told: the ledger counts on no more
+SLOWEST = 20             # x; slow spells overlap: the ledger counts on no better pace than told by so much
 # of the lines that may wait, and messages to a proxy kept back: removals, joiners; cuts, levels; weights
-URGENT, HASTY, ORDINARY = (0.85, 1), (0.6, 4), (0.3, 7)
+URGENT, HASTY, ORDINARY = (0.8, 1), (0.6, 4), (0.3, 7)
 HIGH, LOW = 0.6, 0.4     # of the response target: mean latency where load is shed, and let in again
 LOOK, DONE_KEEP = 1 * S, 10     # ns between looks at the load, and looks whose most done is what can be done
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
