--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -32,7 +32,8 @@
 SLOWEST = 20             # x; slow spells overlap: the ledger counts on no better pace than told by so much
 # of the lines that may wait, and messages to a proxy kept back: removals, joiners; cuts, levels; weights
 URGENT, HASTY, ORDINARY = (0.8, 1), (0.6, 4), (0.3, 7)
-HIGH, LOW = 0.6, 0.4     # of the response target: mean latency where load is shed, and let in again
+HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
+LEAST, MEANS = 0.35, 200 # of the target, and beats: the least mean latency counted, of the last 50 s, is work itself
 LOOK, DONE_KEEP = 1 * S, 10     # ns between looks at the load, and looks whose most done is what can be done
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
 AGAIN, GROW = 0.9, 1.03 # x the goal where a queue comes back, and a look while answers are short
@@ -169,7 +170,7 @@
 
     def __init__(self, hub):
         super().__init__(hub)
-        self.rows, self.need, self.next_solve = [], {}, 0
+        self.rows, self.need, self.next_solve, self.means = [], {}, 0, deque(maxlen=MEANS)
 
     def on_figures(self, row):
         self.rows.append(row)
@@ -190,7 +191,9 @@
                         tries >= BACK_TRIES and bad <= tries / 4 or not tries and self.now - be.since > MUTE):
                     be.tell("set", be.cap, min(1.0, be.health * BACK))
         health = self.judge(rows)
-        mid = sum(r.newest[0] for r in rows) / (sum(r.newest[1] for r in rows) or 1)
+        done = sum(r.newest[1] for r in rows)
+        self.means += [sum(r.newest[0] for r in rows) / done] if done else []
+        mid = self.means[-1] - min(LEAST * self.hub.target, *self.means) if done else 0      # the wait in queues
         # in a jam proxies shun full backends and take the empty one: cold ones join, or rise, when it is over
         jam = mid > LOW * self.hub.target and any(r.warm >= 1 for r in rows)
         self.hub.levels.tell("state", mid,
