--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -26,8 +26,8 @@
 SICK_MOST = 0.6          # share of the ready ones cut at most: a zone may be lost, but never nearly all
 BACK, BACK_TRIES, MUTE = 2.0, 2, 12 * S   # x a solve on the way back, after good tries or none for long
 TRICKLE = 0.06           # of its weight at the least, for a sick one: enough to hear of it within seconds
-COLD_PART, COLD_TOP = 0.38, 0.95   # of the load a cold one falls under; and the most until warm
-TWICE = 0.55             # x for a cold one where proxies take the emptier of two drawn: it wins most
+COLD_PART, COLD_TOP = 0.5, 0.95   # of the load a cold one falls under; and the most until warm
+TWICE = 0.42             # x for a cold one where proxies take the emptier of two drawn: it wins most
 PATIENCE, RETRY_CAP = 1 * S, 8 * S   # ns; a mark's least, as proxies stand still; repeats, under the sweep
 SLOWEST = 20             # x; slow spells overlap: the ledger counts on no better pace than told by so much
 # of the lines that may wait, and messages to a proxy kept back: removals, joiners; cuts, levels; weights
