--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -33,10 +33,11 @@
 # of the lines that may wait, and messages to a proxy kept back: removals, joiners; cuts, levels; weights
 URGENT, HASTY, ORDINARY = (0.8, 1), (0.6, 4), (0.3, 7)
 HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
-LEAST, MEANS = 0.35, 200 # of the target, and beats: the least mean latency counted, of the last 50 s, is work itself
+AGO = 9                  # beats, some two reports: latency now is held against so long ago
+LEAST, MEANS = 0.35, 200 # of the target; beats (50 s): the least mean latency of them is the work itself
 LOOK, DONE_KEEP = 1 * S, 10     # ns between looks at the load, and looks whose most done is what can be done
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
-AGAIN, GROW = 0.9, 1.03 # x the goal where a queue comes back, and a look while answers are short
+AGAIN, GROW, FALLS = 0.9, 1.03, 0.9   # x the goal where a queue comes back; a look; a wait so falling
 LET_LEAST, SHED_MOST = 0.3, 0.97   # of what comes: let in at least; shed of a kind at most
 LEVEL_MOVE, ALL_RATE = 0.08, 10**6   # share a level moves at least: it costs lines; reqs/s that limit nothing
 MOST_FAIL, WARY = 0.3, 0.6   # errored share past which tries add to the fault; let in then if some are cold
@@ -111,10 +112,10 @@
             start = max(self.now - WINDOW, self.new)     # what it did cold or sick does not count
             newest = [r for r in self.samples if r.at > self.now - self.site.report_cycle * 3 // 2]
             loads = [r.load for r in self.samples if r.load is not None and r.at > self.now - WINDOW]
-            load, done = sum(loads) / len(loads) if loads else None, sum(r.tries - r.errored for r in newest)
+            done = tuple((r.tries - r.errored, (r.tries - r.errored) * r.latency) for r in newest)
             self.hub.planner.tell("figures", Figures(
-                self, self.over(start), self.now - start, self.over(self.now - SHORT), self.warmth(), load,
-                (sum((r.tries - r.errored) * r.latency for r in newest), done)))
+                self, self.over(start), self.now - start, self.over(self.now - SHORT), self.warmth(),
+                sum(loads) / len(loads) if loads else None, done))
 
     def on_set(self, cap, health):
         """Late reports tell of the time before: none counts until what was ordered now can have shown."""
@@ -191,12 +192,13 @@
                         tries >= BACK_TRIES and bad <= tries / 4 or not tries and self.now - be.since > MUTE):
                     be.tell("set", be.cap, min(1.0, be.health * BACK))
         health = self.judge(rows)
-        done = sum(r.newest[1] for r in rows)
-        self.means += [sum(r.newest[0] for r in rows) / done] if done else []
-        mid = self.means[-1] - min(LEAST * self.hub.target, *self.means) if done else 0      # the wait in queues
-        # in a jam proxies shun full backends and take the empty one: cold ones join, or rise, when it is over
+        done = sum(n for r in rows for n, _ in r.newest)
+        self.means += [sum(took for r in rows for _, took in r.newest) / done] if done else []
+        mid = self.means[-1] - min(LEAST * self.hub.target, *self.means) if done else 0
+        # mid: the wait in queues. In a jam proxies shun full backends and take the empty one: cold ones wait
         jam = mid > LOW * self.hub.target and any(r.warm >= 1 for r in rows)
-        self.hub.levels.tell("state", mid,
+        falls = done > 0 and self.means[-1] < FALLS * self.means[-min(AGO, len(self.means))]
+        self.hub.levels.tell("state", mid, falls,
                              sum(r.short[0] for r in rows), sum(r.short[1] for r in rows),
                              sum(caps[r.be] * r.warm for r in rows) or 1.0, any(r.warm < 1 for r in rows))
         self.lines({r.be: caps[r.be] * r.warm * health[r.be] for r in rows if r.warm >= 1 or not jam}, need)
@@ -266,7 +268,7 @@
     def on_demand(self, px, rates):
         self.rates[px] = rates
 
-    def on_state(self, mid, tries, bad, able, cold):
+    def on_state(self, mid, falls, tries, bad, able, cold):
         rates, self.rates, hub = self.rates, {}, self.hub
         if tries and bad / tries > MOST_FAIL:
             self.calm_at = hub.now + hub.timeout
@@ -275,7 +277,7 @@
             span = min(SHORT, max(BEAT, hub.site.report_cycle, hub.now - hub.born)) * able / S
             coming = sum(sum(r.values()) for r in rates.values())
             self.done.append((tries - bad) / span)
-            if mid > HIGH * hub.target:
+            if mid > HIGH * hub.target and not (falls and self.goal):
                 known = max(self.done) if self.goal is None else AGAIN * max(self.full, self.goal)
                 self.full = max(known, LET_LEAST * coming / able)
                 self.goal = max(DEEP, DRAIN * HIGH * hub.target / mid) * self.full
@@ -292,7 +294,7 @@
         hub.table = {kind: Row(row.level, retry) for kind, row in hub.table.items()}
         hub.channel.tell("send", hub.table)
 
-    def shed(self, rates, over):            # the least credit first
+    def shed(self, rates, over):
         for kind in sorted(self.site.kinds, key=lambda k: k.credit):
             come = [r[kind] for r in rates.values()]
             cut = min(over, SHED_MOST * sum(come))
@@ -305,7 +307,6 @@
 
     @staticmethod
     def limit(come, rest):
-        """The rate at each proxy under which all of them together let in no more than the rest."""
         for n, rate in zip(range(len(come), 0, -1), sorted(come)):
             if rate * n >= rest:
                 return max(rest / n, 0.01)
@@ -353,10 +354,9 @@
 
     def __init__(self, hub):
         super().__init__(hub)
-        self.tabs, self.queue, self.sweep_at, self.levels = {}, {}, 0, {}
+        self.tabs, self.queue, self.sweep_at, self.levels, self.lines, self.sets = {}, {}, 0, {}, {}, []
         self.joins, self.out, self.back, self.withdrawn, self.urgent = {}, {}, {}, {}, False
         self.proof_at, self.flight, self.took = hub.now, deque(), deque(maxlen=8)
-        self.lines, self.sets = {}, []
 
     def on_want(self, zone, want):
         tab = self.tabs.setdefault(zone, Tab())
