Let in again as soon as the wait falls under the threshold; 1.5% a look

Cause: after a cut the goal stood for five seconds though the queue was gone in two, and rose past what can be done before reports showed it.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -37,7 +37,7 @@
 LEAST, MEANS = 0.35, 200 # of the target; beats (50 s): the least mean latency of them is the work itself
 LOOK, DONE_KEEP = 1 * S, 10     # ns between looks at the load, and looks whose most done is what can be done
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
-AGAIN, GROW, FALLS = 0.9, 1.03, 0.9   # x the goal where a queue comes back; a look; a wait so falling
+AGAIN, GROW, FALLS = 0.9, 1.015, 0.9   # x the goal where a queue comes back; a look; a wait so falling
 LET_LEAST, SHED_MOST = 0.3, 0.97   # of what comes: let in at least; shed of a kind at most
 LEVEL_MOVE, ALL_RATE = 0.08, 10**6   # share a level moves at least: it costs lines; reqs/s that limit nothing
 MOST_FAIL, WARY = 0.3, 0.6   # errored share past which tries add to the fault; let in then if some are cold
@@ -261,7 +261,7 @@
 
     def __init__(self, hub):
         super().__init__(hub)
-        self.rates, self.look_at, self.done = {}, 0, deque(maxlen=DONE_KEEP)
+        self.rates, self.look_at, self.cut_at, self.done = {}, 0, 0, deque(maxlen=DONE_KEEP)
         self.calm_at = hub.now + hub.timeout + hub.site.report_cycle  # after a restart a jam is not known yet
         self.goal, self.full = None, 0.0         # reqs a second a unit of capacity
 
@@ -277,13 +277,13 @@
             span = min(SHORT, max(BEAT, hub.site.report_cycle, hub.now - hub.born)) * able / S
             coming = sum(sum(r.values()) for r in rates.values())
             self.done.append((tries - bad) / span)
-            if mid > HIGH * hub.target and not (falls and self.goal):
+            if mid > HIGH * hub.target and not (falls and self.goal) and hub.now >= self.cut_at:
                 known = max(self.done) if self.goal is None else AGAIN * max(self.full, self.goal)
                 self.full = max(known, LET_LEAST * coming / able)
                 self.goal = max(DEEP, DRAIN * HIGH * hub.target / mid) * self.full
-                self.look_at = hub.now + hub.timeout + 2 * hub.site.report_cycle
+                self.cut_at = hub.now + hub.timeout + 2 * hub.site.report_cycle
                 hub.orders.append(i.Log(f"overload: {self.goal * able:.0f} of {coming:.0f} reqs/s let in"))
-            elif self.goal is not None and mid < LOW * hub.target:
+            elif self.goal is not None and mid < (HIGH if falls else LOW) * hub.target:
                 self.goal = max(FULL * self.full, self.goal * GROW)
                 if self.goal * able > coming:
                     self.goal = None
