--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -11,6 +11,8 @@
 
 MS, S = 10**6, 10**9
 # -- constants: value, unit, reason
+AGO, LEAST, MEANS = 9, 0.35, 200   # beats back that latency is held against; the least mean of the last
+#                          MEANS beats, or LEAST of the response target if less, counts as the work itself
 BEAT = 250 * MS          # ns; parts look again this often: well under any report cycle, few batches
 SOLVE, SWEEP = 2 * S, 10 * S    # ns; two report cycles, so that none counts twice; the design page's sweep
 WINDOW, SHORT = 8 * S, 4 * S    # ns; some 50 answers a backend, against chance; the last reports, for health
@@ -33,8 +35,6 @@
 # of the lines that may wait, and messages to a proxy kept back: removals, joiners; cuts, levels; weights
 URGENT, HASTY, ORDINARY = (0.8, 1), (0.6, 4), (0.3, 7)
 HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
-AGO = 9                  # beats, some two reports: latency now is held against so long ago
-LEAST, MEANS = 0.35, 200 # of the target; beats (50 s): the least mean latency of them is the work itself
 LOOK, DONE_KEEP = 1 * S, 10     # ns between looks at the load, and looks whose most done is what can be done
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
 AGAIN, GROW, FALLS = 0.9, 1.015, 0.9   # x the goal where a queue comes back; a look; a wait so falling
@@ -455,9 +455,7 @@
         late = [px for px in users if px.open and self.now - px.open[0][1] > self.patience()]
         moved = self.changes(tab)
         if late:
-            for px in late:
-                if self.fits({px: self.size(tab)}, HASTY):
-                    binds.append((px, tab))
+            binds += [(px, tab) for px in late if self.fits({px: self.size(tab)}, HASTY)]
             self.queue[tab] = self.now + min(RETRY_CAP, PATIENCE << min(tab.fails, 4))
             tab.fails += 1
         elif moved and self.fits({px: len(moved) for px in users}, ORDINARY):
