--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -148,7 +148,7 @@
     def on_answered(self, ev):
         while any(mark is ev.mark for mark, _ in self.open):
             self.open.popleft()
-        self.hub.channel.tell("through", ev.mark, ev.took)
+        self.hub.channel.tell("through", self, ev.mark, ev.took)
 
     def on_arrivals(self, ev):
         self.samples.append(Came(self.now, ev.kind, ev.reqs, ev.span))
@@ -378,16 +378,17 @@
         if be in self.withdrawn:
             self.back[be] = True
 
-    def on_through(self, mark, took):
+    def on_through(self, px, mark, took):
         self.took.append(took)
-        while any(m is mark for m, *_ in self.flight) and self.flight[0][0] is not mark:
-            self.proof_at = self.now
+        while any(m is mark for m, _ in self.flight) and self.flight[0][0] is not mark:
             self.flight.popleft()
+        if self.flight and self.flight[0][0] is mark and self.flight[0][1].pop(px, 0):
+            self.proof_at = self.now
 
     def waiting(self):
         """Lines that may still wait: all since the last mark known to be through, less the slowest pace."""
         gone = (self.now - self.proof_at) * self.site.channel_rate / SLOWEST / S
-        return max(0.0, sum(n for *_, n in self.flight) - gone)
+        return max(0.0, sum(n + self.site.head + 1 for _, sent in self.flight for n in sent.values()) - gone)
 
     def patience(self):
         """Lines ahead, the longest way and answers lately seen: a slow channel breeds no repeats."""
@@ -439,15 +440,14 @@
             px.table = tab
         hub.orders += self.sets + [i.Bind(px.handle, tab.handle) for px, tab in binds] + outs
         if self.lines:
-            mark = i.Mark()
-            hub.orders.append(i.PutMark(mark))
+            hub.orders.append(i.PutMark(mark := i.Mark()))
             for px in self.lines:
                 px.open.append((mark, now))
                 px.sent.append(now)
             if not self.waiting():
                 self.flight.clear()
                 self.proof_at = now
-            self.flight.append((mark, now, sum(n + hub.site.head + 1 for n in self.lines.values())))
+            self.flight.append((mark, self.lines))
 
     def push(self, tab, users, binds):
         """The design's queue item: changes go once to all, applied when all have answered; proxies whose mark
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -26,7 +26,10 @@
 class Stage:
     def __init__(self):
         self.things, self.now, self.orders, self.todo = {}, 10 * UNITS["s"], [], []
-        self.site, self.kinds, self.module, self.steady, self.answers = {}, {}, None, {}, True
+        self.site, self.module, self.steady, self.answers = {}, None, {}, True
+        both = dict(response_target=8 * 10**8, client_timeout=2 * 10**9)
+        self.kinds = {"view": i.ReqKind(**both, credit=1, door="view"),
+                      "pay": i.ReqKind(**both, credit=3, again="non-replayable", door="pay")}
         self.tables, self.bound, self.out, self.levels, self.open = {}, {}, set(), {}, {}
         self.messages = []
 
@@ -36,9 +39,6 @@
     def do_site(self, *pairs):
         self.site.update((k, value(v)) for k, v in (p.split("=") for p in pairs))
 
-    def do_kind(self, name, *pairs):
-        self.kinds[name] = i.ReqKind(**{k: value(v) for k, v in (p.split("=") for p in pairs)}, door=name)
-
     def do_start(self, seed="1"):
         given = dict(report_cycle=10**9, way_max=3 * 10**8, warm_after=10**10, cold_from=0.2, fall_multiple=4.0,
                      pending_max=1500.0, channel_rate=1000.0, head=4.0, throttle="share",
@@ -50,6 +50,8 @@
         self.module = Controller(int(seed), i.Deployment(list(self.kinds.values()), zones, **given), self.now)
 
     def do_list(self, how, *rows):
+        if self.module is None:
+            self.do_start()
         entries = []
         for row in rows:
             name, zone, state, started = (row.split(":") + ["north", "ready", "0"][row.count(":"):])[:4]
@@ -70,7 +72,7 @@
 
     def do_hear(self, name, *pairs):
         """Every second from now on, the same report; tries=0 ends it."""
-        self.steady[name] = {k: value(v) for k, v in (p.split("=") for p in pairs)}
+        self.steady |= {one: {k: value(v) for k, v in (p.split("=") for p in pairs)} for one in name.split(",")}
 
     def do_come(self, name, kind, reqs):
         self.steady[(name, kind)] = value(reqs)
