No more is let in than 1.6 times the most done a unit of listed capacity

Guards against capacity that leaves or turns cold before late reports can show a queue; may deny the least credit where a lightly loaded fleet shrinks by more than a third.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -35,7 +35,8 @@
 # of the lines that may wait, and messages to a proxy kept back: removals, joiners; cuts, levels; weights
 URGENT, HASTY, ORDINARY = (0.8, 1), (0.6, 4), (0.3, 7)
 HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
-LOOK, DONE_KEEP = 1 * S, 10     # ns between looks at the load, and looks whose most done is what can be done
+LOOK, DONE_KEEP = 1 * S, 40     # ns between looks at the load, and looks whose most done is what can be done
+SURE, SURE_LOOKS = 1.6, 10      # x that most a unit, not more is let in before it shows; known after so many looks
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
 AGAIN, GROW, FALLS = 0.9, 1.015, 0.9   # x the goal where a queue comes back; a look; a wait so falling
 LET_LEAST, SHED_MOST = 0.3, 0.97   # of what comes: let in at least; shed of a kind at most
@@ -288,7 +289,8 @@
                 if self.goal * able > coming:
                     self.goal = None
                     hub.orders.append(i.Log("overload over: all let in"))
-            over = coming - self.goal * able if self.goal is not None else 0.0
+            sure = SURE * max(self.done) if len(self.done) > SURE_LOOKS else coming
+            over = coming - (sure if self.goal is None else self.goal) * able
             self.shed(rates, max(over, (1 - WARY) * coming if cold and hub.now < self.calm_at else 0.0))
         retry = 0 if hub.now < self.calm_at else 1      # 1: only after proof that the first never ran
         hub.table = {kind: Row(row.level, retry) for kind, row in hub.table.items()}
