--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -11,8 +11,7 @@
 
 MS, S = 10**6, 10**9
 # -- constants: value, unit, reason
-AGO, LEAST, MEANS = 9, 0.35, 200   # beats back that latency is held against; the least mean of the last
-#                          MEANS beats, or LEAST of the response target if less, counts as the work itself
+AGO, LEAST, MEANS = 9, 0.35, 200   # beats compared; work itself: of the target, or least mean of beats
 BEAT = 250 * MS          # ns; parts look again this often: well under any report cycle, few batches
 SOLVE, SWEEP = 2 * S, 10 * S    # ns; two report cycles, so that none counts twice; the design page's sweep
 WINDOW, SHORT = 8 * S, 4 * S    # ns; some 50 answers a backend, against chance; the last reports, for health
@@ -32,11 +31,10 @@
 TWICE = 0.42             # x for a cold one where proxies take the emptier of two drawn: it wins most
 PATIENCE, RETRY_CAP = 1 * S, 8 * S   # ns; a mark's least, as proxies stand still; repeats, under the sweep
 SLOWEST = 20             # x; slow spells overlap: the ledger counts on no better pace than told by so much
-# of the lines that may wait, and messages to a proxy kept back: removals, joiners; cuts, levels; weights
-URGENT, HASTY, ORDINARY = (0.8, 1), (0.6, 4), (0.3, 7)
+URGENT, HASTY, ORDINARY = (0.8, 1), (0.6, 4), (0.3, 7)  # of lines, messages kept: removals, cuts, weights
 HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
 LOOK, DONE_KEEP = 1 * S, 40     # ns between looks at the load, and looks whose most done is what can be done
-SURE, SURE_LOOKS = 1.6, 10      # x that most a unit, not more is let in before it shows; known after so many looks
+SURE, SURE_LOOKS, SHRUNK = 1.3, 10, 0.85   # x that most a unit is let in, if known and capacity is so shrunk
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
 AGAIN, GROW, FALLS = 0.9, 1.015, 0.9   # x the goal where a queue comes back; a look; a wait so falling
 LET_LEAST, SHED_MOST = 0.3, 0.97   # of what comes: let in at least; shed of a kind at most
@@ -144,7 +142,6 @@
 
     def on_left(self, _):
         self.joined, self.table = False, None
-        self.open.clear()
 
     def on_answered(self, ev):
         while any(mark is ev.mark for mark, _ in self.open):
@@ -277,9 +274,10 @@
             self.look_at = hub.now + LOOK
             span = min(SHORT, max(BEAT, hub.site.report_cycle, hub.now - hub.born)) * able / S
             coming = sum(sum(r.values()) for r in rates.values())
-            self.done.append((tries - bad) / span)
+            self.done.append(((tries - bad) / span, able))
+            most, ably = (max(column) for column in zip(*self.done))
             if mid > HIGH * hub.target and not (falls and self.goal) and hub.now >= self.cut_at:
-                known = max(self.done) if self.goal is None else AGAIN * max(self.full, self.goal)
+                known = most if self.goal is None else AGAIN * max(self.full, self.goal)
                 self.full = max(known, LET_LEAST * coming / able)
                 self.goal = max(DEEP, DRAIN * HIGH * hub.target / mid) * self.full
                 self.cut_at = hub.now + hub.timeout + 2 * hub.site.report_cycle
@@ -289,7 +287,7 @@
                 if self.goal * able > coming:
                     self.goal = None
                     hub.orders.append(i.Log("overload over: all let in"))
-            sure = SURE * max(self.done) if len(self.done) > SURE_LOOKS else coming
+            sure = SURE * most if len(self.done) > SURE_LOOKS and able < SHRUNK * ably else ALL_RATE
             over = coming - (sure if self.goal is None else self.goal) * able
             self.shed(rates, max(over, (1 - WARY) * coming if cold and hub.now < self.calm_at else 0.0))
         retry = 0 if hub.now < self.calm_at else 1      # 1: only after proof that the first never ran
