An errored try counts as one that just missed its target in the load

Guards against any overload that shows in errors; may shed for seconds where over four tenths of tries fail fast.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -111,7 +111,8 @@
             start = max(self.now - WINDOW, self.new)     # what it did cold or sick does not count
             newest = [r for r in self.samples if r.at > self.now - self.site.report_cycle * 3 // 2]
             loads = [r.load for r in self.samples if r.load is not None and r.at > self.now - WINDOW]
-            done = tuple((r.tries - r.errored, (r.tries - r.errored) * r.latency) for r in newest)
+            aim = self.hub.target      # an errored try counts as one that just missed it
+            done = tuple((r.tries, (r.tries - r.errored) * r.latency + r.errored * aim) for r in newest)
             self.hub.planner.tell("figures", Figures(
                 self, self.over(start), self.now - start, self.over(self.now - SHORT), self.warmth(),
                 sum(loads) / len(loads) if loads else None, done))
@@ -152,7 +153,6 @@
         self.samples.append(Came(self.now, ev.kind, ev.reqs, ev.span))
 
     def on_beat(self):
-        """Its reqs a second: steady for zone plans, quick by kind for levels; as told until some came."""
         if self.joined:
             kinds = self.site.kinds
             self.hub.planner.tell("demand", self, sum(self.over(WINDOW, kind) for kind in kinds))
