--- a/embertray/benchlink/wire.py
+++ b/embertray/benchlink/wire.py
@@ -130,23 +130,23 @@
     def yes(self, key):
         return self.text(key) in ("true", "1")
 
+    @staticmethod
+    def known(things, kind, ident):
+        if ident not in things:
+            things[ident] = kind(ident)
+        return things[ident]
+
     def zone(self, name):
-        return self.zones.setdefault(name, i.Zone(name)) if name not in self.zones else self.zones[name]
+        return self.known(self.zones, i.Zone, name)
 
     def backend(self, address):
-        if address not in self.backends:
-            self.backends[address] = i.Backend(address)
-        return self.backends[address]
+        return self.known(self.backends, i.Backend, address)
 
     def proxy(self, ident):
-        if ident not in self.proxies:
-            self.proxies[ident] = i.Proxy(ident)
-        return self.proxies[ident]
+        return self.known(self.proxies, i.Proxy, ident)
 
     def slice(self, ident):
-        if ident not in self.tables:
-            self.tables[ident] = i.Table(ident)
-        return self.tables[ident]
+        return self.known(self.tables, i.Table, ident)
 
     def load(self, got):
         try:
--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -397,15 +397,14 @@
 
     def fits(self, adds, rank):
         """Books lines at proxies if the channel, and each proxy's messages, have room at this rank."""
-        site = self.site
-        cost = sum(n + (0 if px in self.lines else site.head + 1) for px, n in adds.items())
-        spent = sum(n + site.head + 1 for n in self.lines.values())
-        if site.pending_max and self.waiting() + spent + cost > rank[0] * site.pending_max:
+        cost = sum(n + (0 if px in self.lines else self.site.head + 1) for px, n in adds.items())
+        spent = sum(n + self.site.head + 1 for n in self.lines.values())
+        if self.site.pending_max and self.waiting() + spent + cost > rank[0] * self.site.pending_max:
             return False
         for px in adds:
-            while px.sent and px.sent[0] <= self.now - site.messages_window:
+            while px.sent and px.sent[0] <= self.now - self.site.messages_window:
                 px.sent.popleft()
-            if site.messages_max and px not in self.lines and len(px.sent) >= site.messages_max - rank[1]:
+            if (most := self.site.messages_max) and px not in self.lines and len(px.sent) >= most - rank[1]:
                 return False
         for px, n in adds.items():
             self.lines[px] = self.lines.get(px, 0) + n
@@ -429,9 +428,9 @@
                 del self.joins[px]
                 binds.append((px, tab))
         outs = self.removals(joined, users)
-        for tab in self.tabs.values():
+        for tab in (tab for tab in users if users[tab]):
             cuts = [(be, w) for be, w in self.changes(tab) if be in tab.told and w < 0.5 * tab.told[be]]
-            if users[tab] and cuts and self.fits({px: len(cuts) for px in users[tab]}, HASTY):
+            if cuts and self.fits({px: len(cuts) for px in users[tab]}, HASTY):
                 self.put(tab, cuts)
             self.put_levels(tab, users[tab])
         for tab in [tab for tab, due in self.queue.items() if now >= due and users[tab]]:
@@ -452,7 +451,8 @@
     def push(self, tab, users, binds):
         """The design's queue item: changes go once to all, applied when all have answered; proxies whose mark
         stays open are bound anew, and the table waits with a growing delay."""
-        late = [px for px in users if px.open and self.now - px.open[0][1] > self.patience()]
+        oldest = self.now - self.patience()
+        late = [px for px in users if px.open and px.open[0][1] < oldest]
         moved = self.changes(tab)
         if late:
             binds += [(px, tab) for px in late if self.fits({px: self.size(tab)}, HASTY)]
