Door shared by adapter and daemon; stream, channel, inventory and report cores without I/O

Change: door/ takes over the ids from the adapter; stream/, channel/, inventory/, reports/ are new, all sans-I/O.

--- a/embertray/benchlink/wire.py
+++ b/embertray/benchlink/wire.py
@@ -3,6 +3,7 @@
 
 from .. import interface as i
 from ..choice import Controller
+from ..door import Door
 
 US = 1000
 AGAIN = {"read_like": "replayable", "idempotency_key": "uniqued", "non_idempotent": "non-replayable"}
@@ -10,7 +11,6 @@
 LISTS = {0: "changes", 1: "whole", 2: "cached", 3: "failed"}
 LOADS = {"active": "held", "waiting": "waiting", "cpu": "busy", "avg_ms": "service_ms", "rps": "rate",
          "err_rps": "errored_rate"}
-MARKS, TABLES = 65535, 65534
 
 
 class BadWire(Exception):
@@ -83,13 +83,12 @@
     return raw, got
 
 
-class Instance:
+class Instance(Door):
     """One controller: its module, and the ids of the objects that the module deals in."""
 
     def __init__(self, seed, raw, clock):
+        super().__init__()
         self.raw = raw
-        self.backends, self.proxies, self.zones, self.tables = {}, {}, {}, {}
-        self.marks, self.next_mark, self.next_table = {}, 0, 0
         self.reports = [LOADS.get(name, name) for name in self.text("feedback.fields").split(",") if name]
         self.kinds = {}
         for k in range(int(self.figure("profiles.count"))):
@@ -130,24 +129,6 @@
     def yes(self, key):
         return self.text(key) in ("true", "1")
 
-    @staticmethod
-    def known(things, kind, ident):
-        if ident not in things:
-            things[ident] = kind(ident)
-        return things[ident]
-
-    def zone(self, name):
-        return self.known(self.zones, i.Zone, name)
-
-    def backend(self, address):
-        return self.known(self.backends, i.Backend, address)
-
-    def proxy(self, ident):
-        return self.known(self.proxies, i.Proxy, ident)
-
-    def slice(self, ident):
-        return self.known(self.tables, i.Table, ident)
-
     def load(self, got):
         try:
             return dict(zip(self.reports, [number(v) for v in got["stats"].split(",")])) if "stats" in got else {}
@@ -208,29 +189,20 @@
             return mark and i.Answered(self.proxy(got["proxy"]), mark, got.get("took-us", 0) * US)
         return None
 
-    def table(self, table):
-        if table.door is None:
-            self.next_table = self.next_table % TABLES + 1
-            table.door = self.next_table
-        return table.door
-
     def action(self, order):
         """The wire line of one order."""
         if isinstance(order, i.SetLine):
-            return f"ENDPOINT share={order.weight:.6g} route-table={self.table(order.table)} backend={order.backend.door}"
+            return f"ENDPOINT share={order.weight:.6g} route-table={self.table_id(order.table)} backend={order.backend.door}"
         if isinstance(order, i.Bind):
-            return f"POINT proxy={order.proxy.door} route-table={self.table(order.table)} lanes=0"
+            return f"POINT proxy={order.proxy.door} route-table={self.table_id(order.table)} lanes=0"
         if isinstance(order, i.Withdraw):
             return f"TAKE_OUT backend={order.backend.door} set={int(order.out)}"
         if isinstance(order, i.SetLevel):
             lanes = sum(1 << kind.door for kind in order.kinds)
-            return (f"SET_LEVEL route-table={self.table(order.table)} lanes={lanes} "
+            return (f"SET_LEVEL route-table={self.table_id(order.table)} lanes={lanes} "
                     f"allowance={order.level:.6g} second-try={order.retry}")
         if isinstance(order, i.PutMark):
-            self.next_mark = self.next_mark % MARKS + 1
-            order.mark.door = self.next_mark
-            self.marks[self.next_mark] = order.mark
-            return f"CHECKPOINT set=0 epoch={self.next_mark}"
+            return f"CHECKPOINT set=0 epoch={self.mark_id(order.mark)}"
         if isinstance(order, i.Wake):
             return f"ARM label={order.label} wait-us={max(0, order.after) // US}"
         if isinstance(order, i.Subscribe):
--- /dev/null
+++ b/embertray/channel/outbox.py
@@ -0,0 +1,114 @@
+"""Orders of one step become one message for each proxy concerned, with what it costs in lines.
+
+Keeps what was ordered so far: tables, who is bound, who was told of which withdrawal. A joined proxy that is not bound
+may hold any line (its standing table), so it is told of every withdrawal.
+"""
+from .. import interface as i
+from ..stream.messages import Bind, Level, Line, Orders, Out
+
+
+class Ordered:
+    """A table as ordered: lines and levels by their objects, in order."""
+
+    def __init__(self):
+        self.lines, self.levels, self.users = {}, {}, {}
+
+
+class Outbox:
+    """Turns a step's orders into messages. `head` is what a message costs beyond its lines."""
+
+    def __init__(self, door, head, kinds):
+        self.door, self.head = door, head
+        self.names = kinds                       # ReqKind -> its name
+        self.tables, self.out = {}, {}           # Table -> Ordered; Backend -> proxies told that it is out
+        self.bound = {}                          # joined Proxy -> Table or None
+
+    def joined(self, px):
+        self.left(px)
+        self.bound[px] = None
+
+    def left(self, px):
+        table = self.bound.pop(px, None)
+        if table is not None:
+            self.tables[table].users.pop(px, None)
+        for told in self.out.values():
+            told.pop(px, None)
+
+    def forget(self, be):
+        """A backend that is gone for good and in no table: nothing of it needs to be kept."""
+        if not any(be in tab.lines for tab in self.tables.values()):
+            self.out.pop(be, None)
+
+    def post(self, now, orders):
+        """[(proxy, Orders, mark or None)], in the order in which proxies were first concerned."""
+        lines, costs, mark, news = {}, {}, None, []
+        for order in orders:
+            for px, do, cost in self.concerned(order):
+                lines.setdefault(px, []).append(do)
+                costs[px] = costs.get(px, 0) + cost
+            if isinstance(order, i.PutMark):
+                mark = order.mark
+        ident = self.door.mark_id(mark) if mark and lines else None
+        for px, do in lines.items():
+            cost = self.head + costs[px] + (ident is not None)
+            news.append((px, Orders(now, float(cost), do, ident), mark if ident else None))
+        return news
+
+    def concerned(self, order):
+        """(proxy, message part, lines it costs) for each proxy that an order reaches."""
+        if isinstance(order, i.SetLine):
+            tab, ident, be = self.table(order.table), self.door.table_id(order.table), order.backend
+            new = order.weight > 0 and be not in tab.lines
+            if order.weight > 0:
+                tab.lines[be] = order.weight
+            else:
+                tab.lines.pop(be, None)
+            part, hidden = Line(ident, be.door, order.weight), self.out.get(be) if new else None
+            for px in tab.users:
+                if hidden is not None and px not in hidden:     # a withdrawn one comes into a table: still out
+                    hidden[px] = True
+                    yield px, Out(be.door, True), 1
+                yield px, part, 1
+        elif isinstance(order, i.Bind):
+            px = order.proxy
+            if px not in self.bound:
+                return
+            self.unbind(px)
+            tab = self.table(order.table)
+            self.bound[px], tab.users[px] = order.table, True
+            out = [be for be in tab.lines if be in self.out]
+            for be, told in self.out.items():
+                told.pop(px, None)
+                if be in tab.lines:
+                    told[px] = True
+            yield px, Bind(self.door.table_id(order.table), [(be.door, w) for be, w in tab.lines.items()],
+                           [(self.names[k], *level) for k, level in tab.levels.items()],
+                           [be.door for be in out]), 1 + len(tab.lines) + len(tab.levels) + len(out)
+        elif isinstance(order, i.Withdraw):
+            be, part = order.backend, Out(order.backend.door, order.out)
+            if order.out:
+                told = self.out.setdefault(be, {})
+                for px, table in self.bound.items():
+                    if px not in told and (table is None or be in self.tables[table].lines):
+                        told[px] = True
+                        yield px, part, 1
+            else:
+                for px in self.out.pop(be, {}):
+                    yield px, part, 1
+        elif isinstance(order, i.SetLevel):
+            tab = self.table(order.table)
+            kinds = order.kinds or list(self.names)
+            tab.levels.update({kind: (order.level, order.retry) for kind in kinds})
+            part = Level(self.door.table_id(order.table), [self.names[k] for k in kinds], order.level, order.retry)
+            for px in tab.users:
+                yield px, part, 1
+
+    def unbind(self, px):
+        old = self.bound.get(px)
+        if old is not None:
+            self.tables[old].users.pop(px, None)
+
+    def table(self, table):
+        if table not in self.tables:
+            self.tables[table] = Ordered()
+        return self.tables[table]
--- /dev/null
+++ b/embertray/channel/pacer.py
@@ -0,0 +1,84 @@
+"""The channel: messages leave one after the other at so many lines a second; what waits is counted as rule 5 counts it.
+
+No I/O: the time comes in, what leaves comes out. Rule 5 counts every line that was ordered and has not left yet, heads
+included. A message leaves when the last of its lines has had its time; one that is under way counts whole.
+"""
+from collections import deque
+
+S = 10**9
+
+
+class Waiting:
+    """A message in the channel."""
+
+    __slots__ = ("px", "cost", "load")
+
+    def __init__(self, px, cost, load):
+        self.px, self.cost, self.load = px, cost, load
+
+
+class Pacer:
+    """One instance's channel. `rate` is lines a second (0: no limit); `pace` is the part of it that holds now."""
+
+    def __init__(self, rate, now=0):
+        self.rate, self.pace, self.queue = rate, 1.0, deque()
+        self.lines, self.peak, self.left = 0.0, 0.0, 0           # waiting now, the most ever, messages that left
+        self.at, self.owed = now, 0.0                            # lines of the first message still to go at `at`
+
+    def put(self, now, px, cost, load):
+        """A message is ordered. Its load leaves by `leave`."""
+        if not self.queue:
+            self.at, self.owed = now, cost
+        self.queue.append(Waiting(px, cost, load))
+        self.lines += cost
+        self.peak = max(self.peak, self.lines)
+
+    def set_pace(self, now, pace):
+        """Runs the channel at a part of its rate from now on. Raises ValueError out of (0, 1]."""
+        if not 0 < pace <= 1:
+            raise ValueError(f"a pace of {pace}: over 0 and 1 at most is wanted")
+        self.run(now)
+        self.pace = pace
+
+    def run(self, now):
+        """The time up to now is spent on the first message."""
+        if self.queue and self.rate:
+            self.owed -= (now - self.at) * self.rate * self.pace / S
+        self.at = now
+
+    def leave(self, now):
+        """[(px, load)] of the messages that have left by now, in order."""
+        gone = []
+        self.run(now)
+        while self.queue and (not self.rate or self.owed <= 1e-6):
+            first = self.queue.popleft()
+            gone.append((first.px, first.load))
+            self.lines -= first.cost
+            self.left += 1
+            spare = min(0.0, self.owed)
+            self.owed = spare + self.queue[0].cost if self.queue else 0.0
+        if not self.queue:
+            self.lines = 0.0
+        return gone
+
+    def next_at(self):
+        """When the first message leaves, ns; None when nothing waits."""
+        if not self.queue:
+            return None
+        if not self.rate:
+            return self.at
+        return self.at + max(0, -int(-self.owed * S // (self.rate * self.pace)))
+
+    def drop(self, now, px):
+        """The proxy's stream is gone: what waits for it is lost and costs no time any more."""
+        self.run(now)
+        if self.queue and self.queue[0].px is px:
+            self.owed = 0.0
+            while self.queue and self.queue[0].px is px:
+                self.lines -= self.queue.popleft().cost
+            if self.queue:
+                self.owed = self.queue[0].cost
+        kept = deque(w for w in self.queue if w.px is not px)
+        if len(kept) != len(self.queue):
+            self.queue = kept
+            self.lines = sum(w.cost for w in kept)
--- /dev/null
+++ b/embertray/door/door.py
@@ -0,0 +1,46 @@
+"""The door: one object for each id, for the bench's adapter and the daemon alike.
+
+The module deals in objects and never sees ids; what comes in names ids, what goes out must name them again.
+"""
+from .. import interface as i
+
+TABLES, MARKS = 65534, 65535    # ids in use: 1 to this, then anew
+
+
+class Door:
+    """One instance's ids. Tables and marks are numbered when they are first ordered."""
+
+    def __init__(self):
+        self.backends, self.proxies, self.zones, self.tables, self.marks = {}, {}, {}, {}, {}
+        self.next_mark = self.next_table = 0
+
+    @staticmethod
+    def known(things, kind, ident):
+        if ident not in things:
+            things[ident] = kind(ident)
+        return things[ident]
+
+    def zone(self, name):
+        return self.known(self.zones, i.Zone, name)
+
+    def backend(self, address):
+        return self.known(self.backends, i.Backend, address)
+
+    def proxy(self, ident):
+        return self.known(self.proxies, i.Proxy, ident)
+
+    def slice(self, ident):
+        return self.known(self.tables, i.Table, ident)
+
+    def table_id(self, table):
+        if table.door is None:
+            self.next_table = self.next_table % TABLES + 1
+            table.door = self.next_table
+        return table.door
+
+    def mark_id(self, mark):
+        """A new number for a mark that is ordered now; the oldest of the same number is forgotten."""
+        self.next_mark = self.next_mark % MARKS + 1
+        mark.door = self.next_mark
+        self.marks[self.next_mark] = mark
+        return self.next_mark
--- /dev/null
+++ b/embertray/inventory/follow.py
@@ -0,0 +1,57 @@
+"""Follows the list without I/O: which news apply, when to ask for the whole again, when to dial again.
+
+An answer that does not fit on the epoch held is not applied: half a list is never taken for a whole one.
+"""
+from .messages import Failed, Get, News, Watch
+
+S = 10**9
+# -- constants: value, unit, reason
+FIRST, MOST = S // 5, 4 * S     # ns; delay before dialling again, first and longest: the list is one service for all
+CALL = 5 * S                    # ns; a call without an answer for so long has failed
+
+
+class Follow:
+    """The client's side. Verdicts: what to send, and News to hand on."""
+
+    def __init__(self):
+        self.epoch, self.fails, self.waits_since, self.held = 0, 0, None, {}
+
+    def dialled(self, now):
+        """The connection is up: the first thing to say on it."""
+        self.waits_since = now
+        return Watch(self.epoch)
+
+    def asked(self, now, whole=False):
+        """The module wants to be told (again)."""
+        if self.waits_since is None:
+            self.waits_since = now
+        return Get() if whole else Watch(self.epoch)
+
+    def broke(self):
+        """The connection is gone or a call failed; ns to wait before the next."""
+        self.waits_since = None
+        self.fails += 1
+        return min(MOST, FIRST << min(self.fails - 1, 8))
+
+    def late(self, now):
+        return self.waits_since is not None and now - self.waits_since > CALL
+
+    def heard(self, message):
+        """('changes' | 'whole' | 'failed' | 'gap', entries). After a gap the whole list is to be asked for."""
+        if isinstance(message, Failed):
+            self.fails += 1
+            self.waits_since = None
+            return "failed", []
+        assert isinstance(message, News)
+        if message.since and message.since != self.epoch:
+            return "gap", []
+        self.waits_since, self.fails = None, 0
+        self.epoch = message.epoch
+        if message.since:
+            self.held.update((e.backend, e) for e in message.entries)
+            for entry in message.entries:
+                if entry.state == "gone":
+                    del self.held[entry.backend]
+            return "changes", message.entries
+        self.held = {e.backend: e for e in message.entries if e.state != "gone"}
+        return "whole", message.entries
