--- a/embertray/days/controllers.py
+++ b/embertray/days/controllers.py
@@ -32,13 +32,14 @@
     async def up(self, name):
         gate, life = Gate(), self.lives.get(name, 0)
         self.lives[name] = life + 1
-        service = Service(self.stage.site, self.at[name], GatedClock(self.clock, gate), GatedNet(self.net, gate),
+        net = GatedNet(self.net, gate)
+        service = Service(self.stage.site, self.at[name], GatedClock(self.clock, gate), net,
                           self.kept[name], self.seed * 1000 + life, self.stage.chance.of("cuts", name, life).random,
                           self.log, self.core)
         scope = anyio.CancelScope()
         listen, admin = await self.stage.group.start(partial(self.live, service, scope))
         self.at[name] = replace(self.at[name], listen=listen, admin=admin)
-        self.running[name] = service, scope, gate
+        self.running[name] = service, scope, gate, net
 
     @staticmethod
     async def live(service, scope, task_status):
@@ -52,7 +53,8 @@
         return self.at[name].admin
 
     def kill(self, name):
-        _, scope, gate = self.running.pop(name)
+        _, scope, gate, net = self.running.pop(name)
+        net.kill()
         gate.release()
         scope.cancel()
 
@@ -63,7 +65,7 @@
         self.running[name][2].release()
 
     async def stop(self):
-        for name, (service, _, gate) in self.running.items():
+        for name, (service, _, gate, _) in self.running.items():
             gate.release()
             service.stop()
 
--- a/embertray/days/observer.py
+++ b/embertray/days/observer.py
@@ -11,10 +11,16 @@
     """`events`: Event(at ns, what, who, rest). Outcomes of clients' reqs are kept apart, in `reqs`."""
 
     def __init__(self):
-        self.events, self.reqs, self.sent_count = [], [], 0
+        self.events, self.reqs, self.over = [], [], False
 
     def note(self, at, what, who, *rest):
-        self.events.append(Event(at, what, who, rest))
+        if not self.over:
+            self.events.append(Event(at, what, who, rest))
+
+    def end(self, at):
+        """The day is over: what is taken down now says nothing of it."""
+        self.note(at, "end", "")
+        self.over = True
 
     # from proxies
     def joined(self, at, px, controller):
@@ -30,7 +36,6 @@
         self.note(at, "applied", px, orders)
 
     def sent(self, at, px, backend, req, key):
-        self.sent_count += 1
         self.note(at, "sent", px, backend, req, key)
 
     def failed(self, at, px, backend, key, how):
--- a/embertray/days/player.py
+++ b/embertray/days/player.py
@@ -181,6 +181,7 @@
                     if self.progress:
                         self.group.start_soon(self.show, end)
                 await self.clock.sleep_until(self.clock.now() + SETTLE)
+                self.eyes.end(self.clock.now())
             finally:
                 with anyio.CancelScope(shield=True):
                     await self.held.stop()
--- a/embertray/site/site.py
+++ b/embertray/site/site.py
@@ -114,7 +114,9 @@
         raise BadSite(f"{path}:{wrong.lineno}: not well-formed XML: {wrong.msg}") from None
     if not schema().validate(tree):      # validating also fills in the defaults
         first = schema().error_log[0]
-        raise BadSite(f"{path}:{first.line}: {first.message}")
+        wanted = next((text for pattern, text in expected().items() if f"'{pattern}'" in first.message), None)
+        said = first.message.split(" [facet")[0].split(": [facet")[0] if wanted else first.message
+        raise BadSite(f"{path}:{first.line}: {said}" + (f": {wanted} is expected" if wanted else ""))
     return read(tree.getroot(), path)
 
 
@@ -170,6 +172,14 @@
         raise BadSite(f"{path}:{element.sourceline}: {wrong}") from None
 
 
+@cache
+def expected():
+    """What a pattern of the schema stands for, in words: pattern -> its type's documentation."""
+    tag = "{http://www.w3.org/2001/XMLSchema}"
+    return {kind.find(f".//{tag}pattern").get("value"): kind.findtext(f".//{tag}documentation")
+            for kind in etree.parse(HERE / "site.xsd").iter(tag + "simpleType") if kind.find(f".//{tag}pattern") is not None}
+
+
 @cache
 def attribute_defaults():
     """Defaults as the schema states them, by element: said in one place only."""
--- a/embertray/standin/virtual.py
+++ b/embertray/standin/virtual.py
@@ -64,7 +64,7 @@
     """Shut while a process stands still."""
 
     def __init__(self):
-        self.open = None
+        self.open, self.streams = None, {}
 
     def shut(self):
         self.open = self.open or anyio.Event()
@@ -98,6 +98,8 @@
         self.chunks, self.held = deque(), 0
         self.came, self.room = anyio.Event(), anyio.Event()
         self.closed = self.ended = self.broken = False
+        if gate:
+            gate.streams[self] = True
 
     async def send(self, data):
         while True:
@@ -145,6 +147,8 @@
         if not self.closed:
             self.closed = True
             self.peer.ended = True
+            if self.gate:
+                self.gate.streams.pop(self, None)
             for event in (self.peer.came, self.came, self.room):
                 event.set()
 
@@ -199,7 +203,11 @@
             await self.came.wait()
 
     async def aclose(self):
-        self.net.listeners.pop(self.address, None)
+        self.close()
+
+    def close(self):
+        if self.net.listeners.get(self.address) is self:
+            del self.net.listeners[self.address]
         while self.waiting:
             self.waiting.popleft().reset()
 
@@ -215,3 +223,11 @@
 
     async def dial(self, address):
         return await self.net.dial(address, self.gate)
+
+    def kill(self):
+        """What the system does for a dead process: nobody listens, and its streams break in the order of their
+        making (a cancelled task group ends its tasks in no certain order)."""
+        for listener in [one for one in self.net.listeners.values() if one.gate is self.gate]:
+            listener.close()
+        for stream in list(self.gate.streams):
+            stream.reset()
--- /dev/null
+++ b/tests/sabotage.py
@@ -0,0 +1,94 @@
+"""Controllers that each break one rule, to show that its check can fail."""
+from dataclasses import replace
+
+from embertray import interface as i
+from embertray.core import Instance
+from embertray.stream.messages import Bind, Line, Orders
+
+
+class DropsRemovals(Instance):
+    """Removals and withdrawals never leave."""
+
+    def advance(self, now):
+        step = super().advance(now)
+        step.leave = [(name, replace_do(m, [do for do in m.do if not removes(do)])) for name, m in step.leave]
+        return step
+
+
+def removes(do):
+    return isinstance(do, Line) and do.weight == 0 or type(do).__name__ == "Out" and do.out
+
+
+def replace_do(message, do):
+    return Orders(message.stamp, message.cost, do, message.mark)
+
+
+class BindsNothing(Instance):
+    """Proxies are bound to tables without lines, which come too late: never."""
+
+    def advance(self, now):
+        step = super().advance(now)
+        step.leave = [(name, replace_do(m, [Bind(do.table, [], do.levels, do.out) if isinstance(do, Bind) else do
+                                            for do in m.do if not isinstance(do, Line)])) for name, m in step.leave]
+        return step
+
+
+class RepeatsAll(Instance):
+    """Whatever fails is tried twice more, also what must not run twice."""
+
+    def advance(self, now):
+        step = super().advance(now)
+        step.leave = [(name, replace_do(m, [Bind(do.table, do.lines, [(k.door, 1.0, 3) for k in self.site.kinds], do.out)
+                                            if isinstance(do, Bind) else do for do in m.do])) for name, m in step.leave]
+        return step
+
+
+class TrustsTheCold(Instance):
+    """The module is told that nothing starts cold, and a cold one gets a hundred times its part."""
+
+    def __init__(self, site, *rest):
+        super().__init__(site.at(cold_from=1.0, warm_after=0, fall_multiple=0.0), *rest)
+        self.cold = {}
+
+    def advance(self, now):
+        step = super().advance(now)
+        new = {be.door for be in self.door.backends.values() if be.actor and be.actor.started > 0}
+        step.leave = [(name, replace_do(m, [heavy(do, new) for do in m.do])) for name, m in step.leave]
+        return step
+
+
+def heavy(do, new):
+    if isinstance(do, Line) and do.backend in new and do.weight:
+        return Line(do.table, do.backend, 100.0)
+    if isinstance(do, Bind):
+        return Bind(do.table, [(be, 100.0 if be in new else w) for be, w in do.lines], do.levels, do.out)
+    return do
+
+
+class NoLedger(Instance):
+    """Orders every table anew on each step, whatever waits."""
+
+    def advance(self, now):
+        for table, tab in self.outbox.tables.items():
+            orders = [i.SetLine(table, be, w) for be, w in tab.lines.items()]
+            for px, message, _ in self.outbox.post(now, orders):
+                self.pacer.put(now, px, message.cost, message)
+        return super().advance(now)
+
+
+class TooManyMessages(Instance):
+    """A message for each beat to each proxy."""
+
+    def advance(self, now):
+        if now - getattr(self, "last", 0) > 250_000_000:
+            self.last = now
+            for table, tab in self.outbox.tables.items():
+                be = next(iter(tab.lines), None)
+                if be:
+                    for px, message, _ in self.outbox.post(now, [i.SetLine(table, be, tab.lines[be])]):
+                        self.pacer.put(now, px, message.cost, message)
+        return super().advance(now)
+
+
+def other(site, **facts):
+    return replace(site, **facts)
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,136 @@
+"""Full-path days: every script in virtual time, some over sockets, and each rule's check on a sabotaged controller."""
+import os
+import subprocess
+import sys
+import unittest
+import zlib
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import sabotage
+from embertray.days import notation, player
+
+HERE = Path(__file__).resolve().parent
+
+DIGEST = """
+import sys, zlib
+from embertray.days import notation, player
+print(zlib.crc32(repr(player.play(notation.load("kill"), seed=int(sys.argv[1])).events).encode()))
+"""
+
+
+def verdict(name):
+    result = player.play(notation.load(name), seed=2)
+    return name, result.rules, result.credit, result.reqs
+
+
+def day(text):
+    return notation.read(text, "told-here.day")
+
+
+class Scripts(unittest.TestCase):
+    def test_every_day_keeps_the_rules_in_virtual_time(self):
+        with ProcessPoolExecutor(4) as pool:
+            for name, rules, credit, reqs in pool.map(verdict, notation.names()):
+                with self.subTest(day=name):
+                    self.assertEqual({rule: why for rule, why in rules.items() if why}, {})
+                    floor = notation.load(name).expect.get("credit", "0.5")
+                    self.assertGreater(credit, float(floor))
+                    self.assertGreater(reqs, 0)
+
+    def test_same_seed_same_run_and_another_seed_another(self):
+        """Also in another process, whose hashes and addresses are others."""
+        one, two = (subprocess.run([sys.executable, "-c", DIGEST, "5"], capture_output=True, text=True, timeout=60,
+                                   cwd=HERE.parent, env={**os.environ, "PYTHONHASHSEED": salt}) for salt in "12")
+        self.assertTrue(one.stdout, one.stderr)
+        self.assertEqual(one.stdout, two.stdout)
+        three = player.play(notation.load("kill"), seed=6)
+        self.assertNotEqual(one.stdout.strip(), str(zlib.crc32(repr(three.events).encode())))
+
+
+class Sockets(unittest.TestCase):
+    """The proof: the true program as processes on loopback, in real time, with the same verdict."""
+
+    def test_the_main_job(self):
+        result = player.play(notation.load("first"), mode="sockets")
+        self.assertEqual(result.verdicts(), dict.fromkeys(player.NAMES, "kept"))
+        self.assertGreater(result.credit, 0.95)
+
+    def test_killed_and_stopped_controllers_and_a_drain(self):
+        rough = day("site pushed\nfleet backends=6 proxies=6 controllers=2\nload 40/s for 14s\n"
+                    "at 2s deploy b1 drain=4s\nat 3s kill c1 for 1s\nat 6s stall c2 for 2s\nat 7s deploy b2 drain=5s\n"
+                    "at 8s garbage c1\nat 9s half-message p1\nat 9s twice p2")
+        result = player.play(rough, mode="sockets")
+        self.assertEqual({k: v for k, v in result.rules.items() if v}, {})
+        self.assertGreater(result.credit, 0.8)
+        self.assertGreater(len(result.spread), 5)
+
+
+class Sabotage(unittest.TestCase):
+    """Each check is shown to fail."""
+
+    def broken(self, text, core):
+        told = day(text)
+        honest, spoilt = player.play(told), player.play(told, core=core)
+        self.assertEqual({k: v for k, v in honest.rules.items() if v}, {})
+        return {rule for rule, why in spoilt.rules.items() if why}
+
+    def test_lost(self):
+        self.assertIn("lost", self.broken("fleet backends=3 proxies=2\nload 10/s for 5s", sabotage.BindsNothing))
+
+    def test_duplicate(self):
+        self.assertIn("duplicate", self.broken("site sealed\nfleet backends=4 proxies=3\nload 30/s for 10s\n"
+                                               "at 2s errors b1 for 6s share=1", sabotage.RepeatsAll))
+
+    def test_drain(self):
+        self.assertIn("drain", self.broken("fleet backends=4 proxies=3\nload 30/s for 14s\nat 3s deploy b1 drain=8s",
+                                           sabotage.DropsRemovals))
+
+    def test_failback(self):
+        self.assertIn("failback", self.broken("fleet backends=4 proxies=4\nload 60/s for 25s\nat 3s crash b1 for 3s",
+                                              sabotage.TrustsTheCold))
+
+    def test_backlog_by_lines(self):
+        self.assertIn("backlog", self.broken("fleet backends=6 proxies=6\nload 20/s for 20s", sabotage.NoLedger))
+
+    def test_backlog_by_messages(self):
+        self.assertIn("backlog", self.broken("site sealed\nfleet backends=4 proxies=3\nload 20/s for 20s",
+                                             sabotage.TooManyMessages))
+
+
+class CommandLine(unittest.TestCase):
+    def run_it(self, *words):
+        return subprocess.run([sys.executable, "-m", "embertray", *words], capture_output=True, text=True, timeout=60,
+                              cwd=HERE.parent)
+
+    def test_bad_input_is_one_clear_error_and_code_2(self):
+        for words, said in ((("play", "no-such-day"), "no such day"), (("check", "no.xml"), "no.xml"),
+                            (("serve", "no.xml"), "no.xml")):
+            done = self.run_it(*words)
+            self.assertEqual((done.returncode, done.stdout), (2, ""))
+            self.assertEqual(done.stderr.count("\n"), 1)
+            self.assertIn(said, done.stderr)
+
+    def test_days_are_listed(self):
+        self.assertEqual(len(self.run_it("days").stdout.splitlines()), len(notation.names()))
+
+    def test_a_broken_rule_is_exit_code_1_in_json_too(self):
+        done = self.run_it("play", str(HERE / "days" / "beyond.day"), "--json")
+        self.assertEqual(done.returncode, 1, done.stdout + done.stderr)
+        self.assertIn('"drain": "broken"', done.stdout)
+
+
+class Notation(unittest.TestCase):
+    def test_errors_name_line_and_column(self):
+        for text, words in (("load 5/s for 3s\nat 2s crush b1", ("here.day:2:7", "no trouble 'crush'")),
+                            ("at 2s crash c1", ("can't strike c1",)), ("at 2s crash b9", ("there is no b9",)),
+                            ("fleet wings=2", ("1:7", "knows no 'wings'")), ("at two crash b1", (":1:4",)),
+                            ("at 2s crash", ("must name what it strikes",))):
+            with self.subTest(text=text), self.assertRaises(notation.BadDay) as caught:
+                day(text)
+            for word in words:
+                self.assertIn(word, str(caught.exception))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,326 @@
+"""The parts without I/O: frames, sessions, outbox, pacer, admission, intake, the list's follower, the site."""
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+from hypothesis import given, settings, strategies as st
+
+from embertray import interface as i
+from embertray.channel.admission import AGAIN_FIRST, AGAIN_MOST, CALM, DRAIN_STEP, STRANGERS, Admission
+from embertray.channel.outbox import Outbox
+from embertray.channel.outlet import MOST_BYTES, OLDEST, Outlet
+from embertray.channel.pacer import BURST, Pacer
+from embertray.door import Door
+from embertray.inventory.follow import Follow
+from embertray.inventory.lastlist import Kept, LastList
+from embertray.inventory.messages import Failed, Get, Listed, News
+from embertray.model.backend import Backend, Shape
+from embertray.reports.intake import Intake
+from embertray.site import BadSite, load
+from embertray.site.site import HERE as SITES
+from embertray.stream.frames import MOST, BadFrame, Splitter, frame
+from embertray.stream.holding import Holding
+from embertray.stream.messages import Answer, Bind, Came, Hello, Line, Met, Orders, Out, Sums, encode, read_to_proxy
+from embertray.stream.session import ControllerEnd, ProxyEnd, Refused
+
+S = 10**9
+settings.register_profile("same", derandomize=True, deadline=None, max_examples=150)
+settings.load_profile("same")
+names = st.text(min_size=1, max_size=20)
+
+
+class Frames(unittest.TestCase):
+    @given(st.lists(st.binary(min_size=1, max_size=300), max_size=12), st.lists(st.integers(1, 90), max_size=40))
+    def test_frames_survive_any_cutting(self, payloads, cuts):
+        data, splitter, found = b"".join(map(frame, payloads)), Splitter(), []
+        for size in [*cuts, len(data)]:
+            found += splitter.feed(data[:size])
+            data = data[size:]
+        self.assertEqual(found, payloads)
+        splitter.end()
+
+    def test_a_gigabyte_announced_is_refused_before_it_is_kept(self):
+        splitter = Splitter()
+        with self.assertRaises(BadFrame) as caught:
+            splitter.feed(b"\x40\x00\x00\x00" + b"x" * 100)
+        self.assertEqual(caught.exception.code, "oversized")
+        with self.assertRaises(BadFrame):
+            frame(b"x" * (MOST + 1))
+
+    @given(st.binary(max_size=400))
+    def test_noise_never_raises_anything_but_refused(self, noise):
+        for end in (ControllerEnd(), ProxyEnd("p", "z", 1.0, True)):
+            try:
+                end.receive(noise)
+                end.receive(b"")
+            except Refused as wrong:
+                self.assertTrue(wrong.code)
+
+    @given(st.recursive(st.none() | st.booleans() | st.integers(-2**63, 2**64 - 1) | st.floats() | st.text(max_size=9),
+                        lambda inner: st.lists(inner, max_size=5) | st.dictionaries(st.text(max_size=5), inner, max_size=3)),
+           st.sampled_from(["hello", "answer", "sums", "orders", "welcome", "nonsense"]))
+    def test_well_framed_nonsense_is_refused_once(self, inner, tag):
+        end = ControllerEnd()
+        payload = msgspec.msgpack.encode([tag, *inner] if isinstance(inner, list) else [tag, inner])
+        try:
+            end.receive(frame(payload))
+        except Refused:
+            with self.assertRaises(Refused):
+                end.receive(frame(encode(Hello(1, "p", "z"))))
+
+
+class Sessions(unittest.TestCase):
+    def end(self):
+        end = ControllerEnd()
+        end.receive(ProxyEnd("p", "z", 2.0, True).start())
+        return end
+
+    def refused(self, end, message):
+        with self.assertRaises(Refused) as caught:
+            end.receive(frame(encode(message)))
+        return caught.exception.code
+
+    def test_order_of_messages(self):
+        self.assertEqual(self.refused(ControllerEnd(), Answer(1)), "order")
+        self.assertEqual(self.refused(self.end(), Hello(1, "p", "z")), "order")
+        self.assertEqual(self.refused(ControllerEnd(), Hello(9, "p", "z")), "version")
+        self.assertEqual(self.refused(self.end(), Answer(3)), "order")
+        self.assertEqual(self.refused(self.end(), Sums(1, [Met("b", 2, 3)])), "malformed")
+
+    def test_marks_are_answered_once_and_in_order(self):
+        end = self.end()
+        for mark in (1, 2, 3):
+            end.sent(mark)
+        self.assertEqual(len(end.receive(frame(encode(Answer(2))))), 1)
+        self.assertEqual(end.open, [3])
+        self.assertEqual(self.refused(end, Answer(1)), "order")
+
+    def test_a_stream_cut_within_a_frame(self):
+        end = self.end()
+        end.receive(frame(encode(Answer(1)))[:3])
+        with self.assertRaises(Refused) as caught:
+            end.receive(b"")
+        self.assertEqual(caught.exception.code, "cut")
+
+
+class Channel(unittest.TestCase):
+    def setUp(self):
+        self.door = Door()
+        self.kind = i.ReqKind(1, 2, door="view")
+        self.box = Outbox(self.door, 4, {self.kind: "view"})
+        self.table, self.mark = i.Table(), i.Mark()
+        self.a, self.b = self.door.backend("a"), self.door.backend("b")
+        self.p, self.q = self.door.proxy("p"), self.door.proxy("q")
+        for px in (self.p, self.q):
+            self.box.joined(px)
+
+    def post(self, *orders):
+        return {px.door: message for px, message, _ in self.box.post(7, orders)}
+
+    def test_one_message_a_proxy_and_its_cost(self):
+        got = self.post(i.SetLine(self.table, self.a, 1.0), i.SetLevel(self.table, [], 0.5, 1),
+                        i.Bind(self.p, self.table), i.PutMark(self.mark))
+        self.assertEqual(list(got), ["p"])
+        self.assertEqual(got["p"].cost, 4 + 1 + 1 + 1 + 1)      # head, bind, a line, a level, the mark
+        self.assertEqual(got["p"].do, [Bind(1, [("a", 1.0)], [("view", 0.5, 1)], [])])
+        got = self.post(i.SetLine(self.table, self.b, 0.5), i.SetLine(self.table, self.a, 0))
+        self.assertEqual((list(got), got["p"].cost), (["p"], 6))
+
+    def test_withdrawals_reach_who_may_hold_the_backend_and_follow_it_into_tables(self):
+        self.post(i.SetLine(self.table, self.a, 1.0), i.Bind(self.p, self.table))
+        self.assertEqual(list(self.post(i.Withdraw(self.b, True))), ["q"])       # p's table has no b
+        got = self.post(i.SetLine(self.table, self.b, 1.0))
+        self.assertEqual(got["p"].do, [Out("b", True), Line(1, "b", 1.0)])
+        self.assertEqual(sorted(self.post(i.Withdraw(self.b, False))), ["p", "q"])
+        self.assertEqual(self.post(i.Withdraw(self.b, False)), {})
+
+    def test_a_proxy_that_left_is_concerned_by_nothing(self):
+        self.post(i.SetLine(self.table, self.a, 1.0), i.Bind(self.p, self.table))
+        self.box.left(self.p)
+        self.assertEqual(self.post(i.SetLine(self.table, self.a, 2.0), i.Bind(self.p, self.table)), {})
+
+    @given(st.lists(st.tuples(st.sampled_from("ab"), st.sampled_from(["line", "gone", "out", "in", "bind", "join"]),
+                              st.sampled_from("pq")), max_size=40))
+    def test_what_a_proxy_holds_is_what_was_ordered(self, steps):
+        """Whatever the order of orders, a bound proxy's lines to pick are the table's, less what is withdrawn."""
+        self.setUp()
+        held = {"p": Holding(), "q": Holding()}
+        for be, what, px in steps:
+            be, px = self.door.backend(be), self.door.proxy(px)
+            order = {"line": i.SetLine(self.table, be, 1.0), "gone": i.SetLine(self.table, be, 0),
+                     "out": i.Withdraw(be, True), "in": i.Withdraw(be, False),
+                     "bind": i.Bind(px, self.table)}.get(what)
+            if order is None:
+                self.box.joined(px)
+                held[px.door] = Holding()
+                continue
+            for name, message in self.post(order).items():
+                held[name].apply(read_to_proxy(encode(message)))
+            lines = {one.door for one in self.box.table(self.table).lines if one not in self.box.out}
+            for px, table in self.box.bound.items():
+                if table is not None:
+                    self.assertEqual(set(held[px.door].picks()), lines)
+
+    @given(st.lists(st.tuples(st.integers(0, 3 * 10**8), st.integers(1, 80)), min_size=1, max_size=60))
+    def test_the_channel_never_runs_faster_than_its_rate(self, puts):
+        rate, pacer, now, left, total = 200.0, Pacer(200.0), 0, [], 0
+        for gap, cost in puts:
+            now += gap
+            pacer.put(now, "p", cost, cost)
+            total += cost
+            left += [(now, load) for _, load in pacer.leave(now)]
+        while (when := pacer.next_at()) is not None:
+            left += [(when, load) for _, load in pacer.leave(when)]
+        self.assertEqual([cost for _, cost in left], [cost for _, cost in puts])
+        self.assertEqual(pacer.lines, 0)
+        for n, (start, _) in enumerate(left):
+            carried = 0
+            for at, cost in left[n + 1:]:
+                carried += cost
+                self.assertLessEqual(carried, (at - start) / S * rate + BURST * rate + 1e-3)
+
+    def test_waiting_lines_and_a_proxy_that_left(self):
+        pacer = Pacer(10.0)
+        for px in (self.p, self.q, self.p):
+            pacer.put(0, px, 10, px.door)
+        self.assertEqual((pacer.lines, pacer.next_at()), (30, S))
+        pacer.drop(S // 2, self.p)
+        self.assertEqual((pacer.lines, pacer.next_at()), (10, S * 3 // 2))
+        self.assertEqual(pacer.leave(S * 3 // 2), [(self.q, "q")])
+
+    def test_a_slower_pace_counts_from_now(self):
+        pacer = Pacer(10.0)
+        pacer.put(0, "p", 10, 1)
+        pacer.set_pace(S // 2, 0.5)
+        self.assertEqual(pacer.next_at(), S // 2 + S)
+        for bad in (0, -1, 1.5, float("nan")):
+            with self.assertRaises(ValueError):
+                pacer.set_pace(S, bad)
+
+    def test_standing_still_earns_no_burst(self):
+        pacer = Pacer(1000.0)
+        for _ in range(100):
+            pacer.put(0, "p", 10, 1)
+        self.assertLessEqual(len(pacer.leave(60 * S)), 1 + 1000 * BURST / 10)
+
+    def test_slow_readers_are_cut_by_bytes_and_by_age(self):
+        outlet = Outlet()
+        outlet.put(0, MOST_BYTES + 1)
+        self.assertIsNone(outlet.verdict(0))        # one large table alone is no fault
+        outlet.put(0, 1)
+        self.assertIn("bytes", outlet.verdict(0))
+        outlet.taken()
+        self.assertIsNone(outlet.verdict(OLDEST))
+        self.assertIn("not taken", outlet.verdict(OLDEST + 1))
+
+    def test_cut_proxies_stay_away_longer_each_time_and_apart(self):
+        gate, now, waits = Admission(lambda: 1.0), 0, []
+        for _ in range(9):
+            gate.cut(now, "p")
+            waits.append(gate.hello(now, "p").wait)
+            now += waits[-1]
+            self.assertIsNone(gate.hello(now, "p"))
+        self.assertEqual(waits[:3], [AGAIN_FIRST, 2 * AGAIN_FIRST, 4 * AGAIN_FIRST])
+        self.assertEqual(waits[-1], AGAIN_MOST)
+        gate.cut(now + 2 * CALM, "q")
+        self.assertEqual(list(gate.cuts), ["q"])        # p's cuts are forgotten
+
+    def test_strangers_are_bounded_and_drains_go_step_by_step(self):
+        gate = Admission(lambda: 0.0)
+        self.assertEqual([gate.dialled() for _ in range(STRANGERS)], [None] * STRANGERS)
+        self.assertEqual(gate.dialled().code, "later")
+        gate.gone()
+        self.assertIsNone(gate.dialled())
+        gate.drain(0)
+        self.assertEqual(gate.hello(0, "p").code, "draining")
+        self.assertEqual(gate.to_close(0, 10), (1, DRAIN_STEP))
+        self.assertEqual(gate.to_close(3 * DRAIN_STEP, 10)[0], 3)
+
+
+class Reports(unittest.TestCase):
+    def test_merging_loses_no_count_and_the_oldest_goes_first(self):
+        door, intake = Door(), Intake(4.0)
+        px, zone, kind = door.proxy("p"), door.zone("z"), i.ReqKind(1, 2, door="view")
+        for n in range(3):
+            now = (n + 1) * S // 100
+            intake.sums(now, px, zone, Sums(S, [Met("a", 4, 1, 300, {"busy": n / 2}), Met("b", 2)], [Came("view", 5, 1),
+                        Came("strange", 9)]), door.backend, {"view": kind}.get)
+        events, at = [], 0
+        while (at := intake.next_at()) is not None:
+            events += intake.due(at)
+        self.assertEqual([type(e).__name__ for e in events], ["Heard", "Heard", "Arrivals"])
+        self.assertEqual((events[0].tries, events[0].errored, events[0].latency, events[0].load["busy"]),
+                         (12, 3, 100, 1.0))
+        self.assertEqual((events[2].reqs, events[2].lost), (15, 3))
+
+    def test_lines_a_second(self):
+        door, intake = Door(), Intake(10.0)
+        intake.sums(0, door.proxy("p"), door.zone("z"), Sums(S, [Met(f"b{n}", 1) for n in range(100)]), door.backend, {}.get)
+        count = sum(len(intake.due(t * S // 100)) for t in range(201))
+        self.assertTrue(20 <= count <= 23, count)
+
+
+class List(unittest.TestCase):
+    def test_a_gap_is_never_applied(self):
+        follow = Follow()
+        self.assertEqual(follow.heard(News(5, 0, 0, [Listed("a", "z"), Listed("b", "z")]))[0], "whole")
+        self.assertEqual(follow.heard(News(6, 5, 0, [Listed("a", "z", "gone")]))[0], "changes")
+        self.assertEqual(list(follow.held), ["b"])
+        self.assertEqual(follow.heard(News(9, 8, 0, [Listed("b", "z", "gone")])), ("gap", []))
+        self.assertEqual((follow.epoch, list(follow.held)), (6, ["b"]))
+        self.assertEqual(follow.asked(0, whole=True), Get())
+        self.assertEqual(follow.heard(Failed())[0], "failed")
+
+    def test_the_last_list_on_disk(self):
+        with tempfile.TemporaryDirectory() as folder:
+            kept = Kept(Path(folder) / "last.list")
+            self.assertEqual(kept.load(), (None, "there is none yet"))
+            last = LastList(3, 10, 20, [Listed("a", "z", "ready", 5)])
+            kept.save(last)
+            self.assertEqual(kept.load(), (last, ""))
+            kept.path.write_bytes(kept.path.read_bytes()[:-2])
+            found, why = kept.load()
+            self.assertIsNone(found)
+            self.assertTrue(why)
+
+
+class Sites(unittest.TestCase):
+    def test_samples_load(self):
+        sites = {p.stem: load(p) for p in (SITES / "samples").glob("*.xml")}
+        self.assertEqual(sorted(sites), ["asked", "pushed", "sealed"])
+        self.assertEqual((sites["asked"].ask, sites["pushed"].levels, sites["sealed"].messages_max), (True, "rate", 20))
+        deployment = sites["sealed"].deployment(sites["sealed"].controllers[0], Door())
+        self.assertEqual(deployment.kinds[1].again, "non-replayable")
+
+    def test_errors_name_the_line_and_what_was_expected(self):
+        good = (SITES / "samples" / "pushed.xml").read_text()
+        for old, new, words in (('"800ms"', '"800"', ("time", ":6:")), ('zone="north" listen', 'zone="moon" listen', ("moon",)),
+                                ("127.0.0.1:7001", "10.0.0.1:7001", ("address",)), ("</zones>", "", ("not well-formed",)),
+                                ('picks="round"', 'picks="best"', ("best",)), ("127.0.0.1:7002", "127.0.0.1:7001", ("taken",)),
+                                ('response-target="800ms"', 'response-target="9s"', ("under",)),
+                                ('"127.0.0.1:7100"', '"127.0.0.1:99999"', ("99999",))):
+            with self.subTest(new=new), tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "site.xml"
+                path.write_text(good.replace(old, new, 1))
+                with self.assertRaises(BadSite) as caught:
+                    load(path)
+                for word in ("site.xml:", *words):
+                    self.assertIn(word, str(caught.exception))
+
+
+class Models(unittest.TestCase):
+    def test_a_backend_queues_fills_and_warms(self):
+        be = Backend("a", "z", Shape(cores=1, queue=1, cold_from=0.5, warm_after=10 * S))
+        be.start(0, cold=False)
+        self.assertEqual([be.offer(0, n, "view", S, None) for n in range(3)], [None, None, "full"])
+        self.assertEqual((be.next_at(), be.advance(S), be.advance(2 * S)), (S, [0], [1]))
+        be.start(3 * S, cold=True)
+        be.offer(3 * S, 9, "view", S, None)
+        self.assertEqual(be.next_at(), 5 * S)
+        be.ills.hang = True
+        self.assertEqual(be.advance(9 * S), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
