--- a/embertray/cli/main.py
+++ b/embertray/cli/main.py
@@ -10,10 +10,7 @@
 from ..model.chance import Streams
 from ..site import BadSite, load as load_site
 from . import logs
-
-
-class Bad(click.ClickException):
-    exit_code = 2
+from .standin import Bad, stand_in
 
 
 @click.group()
@@ -25,6 +22,9 @@
     logs.set_up(log_format, log_level)
 
 
+main.add_command(stand_in)
+
+
 @main.command()
 @click.argument("site", type=click.Path())
 @click.option("--controller", "name", help="Which of the site's controllers this is; default: the first.")
--- /dev/null
+++ b/embertray/cli/standin.py
@@ -0,0 +1,124 @@
+"""`embertray stand-in backend|proxy|inventory`: one stand-in by hand, on loopback."""
+import sys
+
+import anyio
+import click
+
+from ..model.backend import Backend, Shape
+from ..model.chance import Streams
+from ..net.address import BadAddress
+from ..net.clock import LoopClock
+from ..net.tcp import TcpNet
+from ..site import BadSite, load as load_site
+from ..standin.backend import StandinBackend
+from ..standin.client import StandinClients
+from ..standin.inventory import StandinInventory
+from ..standin.parts import Agenda
+from ..standin.proxy import StandinProxy
+
+S = 10**9
+
+
+class Bad(click.ClickException):
+    exit_code = 2
+
+
+def run(main):
+    try:
+        anyio.run(main)
+    except* KeyboardInterrupt:
+        pass
+    except* (OSError, BadAddress) as wrong:
+        raise Bad(str(wrong.exceptions[0])) from None
+
+
+def say(text):
+    click.echo(text)
+    sys.stdout.flush()
+
+
+@click.group("stand-in")
+def stand_in():
+    """Run one stand-in by hand, until interrupted."""
+
+
+@stand_in.command()
+@click.option("--listen", default="127.0.0.1:0", show_default=True)
+@click.option("--cores", default=2, show_default=True)
+@click.option("--speed", default=1.0, show_default=True)
+@click.option("--cold", is_flag=True, help="Starts cold, with the warming of --warm seconds.")
+@click.option("--warm", default=10.0, show_default=True)
+def backend(listen, cores, speed, cold, warm):
+    """A backend that does reqs."""
+    async def main():
+        agenda = Agenda(LoopClock())
+        be = StandinBackend(Backend(listen, "", Shape(cores, speed, warm_after=int(warm * S))), TcpNet(), agenda,
+                            Streams(1).of("failing").random)
+        async with anyio.create_task_group() as group:
+            say(f"backend listens on {await group.start(be.run)}")
+            be.start(cold)
+    run(main)
+
+
+@stand_in.command()
+@click.argument("backends", nargs=-1, required=True)
+@click.option("--listen", default="127.0.0.1:0", show_default=True)
+def inventory(backends, listen):
+    """An inventory that lists BACKENDS, each ADDRESS=ZONE. Lines on standard input change it: ADDRESS ZONE STATE."""
+    listed = [text.rpartition("=")[::2] for text in backends]
+    if bad := next((text for text, (at, zone) in zip(backends, listed) if not at or not zone), None):
+        raise Bad(f"'{bad}' is not ADDRESS=ZONE")
+
+    async def main():
+        agenda = Agenda(LoopClock())
+        it = StandinInventory(TcpNet(), agenda)
+        async with anyio.create_task_group() as group:
+            say(f"inventory listens on {await group.start(it.run, listen)}")
+            for address, zone in listed:
+                it.list(address, zone)
+            while row := await anyio.to_thread.run_sync(sys.stdin.readline, abandon_on_cancel=True):
+                words = row.split()
+                if len(words) == 3 and words[2] in ("ready", "draining", "gone"):
+                    it.list(*words, agenda.now() if words[2] == "ready" else 0)
+                    say(f"epoch {it.epoch}: {row.strip()}")
+                elif words:
+                    click.echo("wanted: ADDRESS ZONE ready|draining|gone", err=True)
+            await anyio.sleep_forever()
+    run(main)
+
+
+@stand_in.command()
+@click.argument("site", type=click.Path())
+@click.option("--name", default="p1", show_default=True)
+@click.option("--zone", help="Default: the site's first.")
+@click.option("--rate", default=10.0, show_default=True, help="Reqs a second of its own clients.")
+@click.option("--seconds", default=3600.0, show_default=True)
+def proxy(site, name, zone, rate, seconds):
+    """A plain proxy of SITE.xml with clients of its own; tells what they got each second."""
+    try:
+        told = load_site(site)
+    except BadSite as wrong:
+        raise Bad(str(wrong)) from None
+
+    async def main():
+        agenda, streams, counts = Agenda(LoopClock()), Streams(1), {"done": 0, "late": 0, "lost": 0}
+        px = StandinProxy(name, zone or told.zones[0], told, [c.listen for c in told.controllers], TcpNet(), agenda,
+                          streams.of("proxy"), rate)
+
+        def ended(_, __, ___, how, ____):
+            counts[how] += 1
+        mix = [(kind, 1 / len(told.kinds), kind.response_target // 10) for kind in told.kinds]
+        clients = StandinClients(1, mix, lambda _: rate, TcpNet(), agenda, streams.of("clients"), ended=ended)
+        async with anyio.create_task_group() as group:
+            address = await group.start(px.run)
+            say(f"proxy {name} listens on {address}")
+            group.start_soon(tell, px, counts)
+            await clients.run(address, agenda.now() + int(seconds * S))
+            group.cancel_scope.cancel()
+
+    async def tell(px, counts):
+        while True:
+            await anyio.sleep(1)
+            say(f"{'joined' if px.joined else 'alone'}, {len(px.holding.picks())} lines, "
+                + ", ".join(f"{how} {n}" for how, n in counts.items()))
+    run(main)
--- /dev/null
+++ b/embertray/measure/fleet.py
@@ -0,0 +1,120 @@
+"""A fleet of bare proxy streams on loopback, to load one controller: they join, answer marks and send sums."""
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import anyio
+from lxml import etree
+
+from ..net.clock import LoopClock
+from ..net.tcp import TcpNet
+from ..site.site import HERE as SITES
+from ..standin.inventory import StandinInventory
+from ..standin.parts import BROKEN, Agenda
+from ..stream.messages import Answer, Came, Met, Orders, Sums
+from ..stream.session import ProxyEnd
+
+S = 10**9
+
+
+class Bare:
+    """One proxy's stream. `saw(name, now, orders, bytes)` for each message."""
+
+    def __init__(self, name, zone, saw):
+        self.name, self.saw, self.end, self.stream, self.bound = name, saw, ProxyEnd(name, zone, 10.0, True), None, anyio.Event()
+
+    async def run(self, address):
+        self.stream = await TcpNet().dial(address)
+        try:
+            async with self.stream:
+                await self.stream.send(self.end.start())
+                while True:
+                    data = await self.stream.receive()
+                    now = time.monotonic_ns()
+                    for message in self.end.receive(data):
+                        if isinstance(message, Orders):
+                            self.bound.set()
+                            self.saw(self.name, now, message, len(data))
+                            if message.mark:
+                                await self.stream.send(self.end.pack(Answer(message.mark)))
+        except BROKEN:
+            pass
+
+    async def sums(self, backends, kinds):
+        met = [Met(be, 3, 0, 150_000_000, {"busy": 0.4}) for be in backends]
+        await self.stream.send(self.end.pack(Sums(S, met, [Came(kind, 5, 0) for kind in kinds])))
+
+
+def describe(folder, inventory, **changes):
+    """A site file for one controller: the sample 'pushed' with a channel and reports of the given width."""
+    tree = etree.parse(str(SITES / "samples" / "pushed.xml"))
+    root = tree.getroot()
+    root.find("inventory").set("address", inventory)
+    root.find("channel").set("lines-per-second", str(changes.get("rate", 10**6)))
+    root.find("channel").set("lines-waiting", str(changes.get("waiting", 2 * 10**6)))
+    root.find("reports").set("lines-per-second", str(changes.get("reports", 0)))
+    for element in root.find("controllers"):
+        element.set("listen", "127.0.0.1:0")
+        element.set("admin", "127.0.0.1:0")
+    path = Path(folder) / "site.xml"
+    tree.write(str(path))
+    return path
+
+
+@asynccontextmanager
+async def controller(backends, proxies, saw, **changes):
+    """(inventory, names of backends, Bare proxies all bound, process id, result): a controller of its own process under
+    so many streams. `result` is filled after the end: CPU by part, peak memory."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with anyio.create_task_group() as group:
+            inventory = StandinInventory(TcpNet(), Agenda(LoopClock()))
+            await group.start(inventory.run, "127.0.0.1:0")
+            names = [f"127.{1 + n // 60000}.{n // 250 % 240}.{n % 250 + 1}:9000" for n in range(backends)]
+            zones = ("north", "south", "west")
+            for n, name in enumerate(names):
+                inventory.list(name, zones[n % 3])
+            program = subprocess.Popen([sys.executable, "-m", "embertray.measure.timed",
+                                        str(describe(folder, inventory.address, **changes)), "c1"],
+                                       stdout=subprocess.PIPE, text=True, env=os.environ)
+            result = {}
+            try:
+                row = await anyio.to_thread.run_sync(program.stdout.readline)
+                address = json.loads(row)["listen"]
+                await anyio.sleep(0.5)
+                result["idle_kib"] = resident(program.pid)
+                fleet = [Bare(f"p{n}", zones[n % 3], saw) for n in range(proxies)]
+                began = time.monotonic()
+                for px in fleet:
+                    group.start_soon(px.run, address)
+                for px in fleet:
+                    await px.bound.wait()
+                result["bound_s"] = time.monotonic() - began
+                await anyio.sleep(2)
+                result["joined_kib"] = resident(program.pid)
+                yield inventory, names, fleet, program.pid, result
+            finally:
+                program.terminate()
+                rest, _ = program.communicate(timeout=20)
+                result.update(json.loads((rest.strip() or "{}").splitlines()[-1]))
+                group.cancel_scope.cancel()
+
+
+def resident(pid):
+    """KiB in memory."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") // 1024
+
+
+def cpu(pid):
+    """Seconds of CPU used so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def part(values, share):
+    values = sorted(values)
+    return values[min(len(values) - 1, int(share * len(values)))]
--- /dev/null
+++ b/embertray/measure/news.py
@@ -0,0 +1,89 @@
+"""`python -m embertray.measure.news [PROXIES ...]`: from the inventory's news of a drain to each proxy's socket, over
+loopback, beside a bare loop that writes the same bytes to as many sockets in the same run."""
+import subprocess
+import sys
+import time
+
+import anyio
+
+from ..net.tcp import TcpNet
+from .fleet import controller, part
+
+ROUNDS, BACKENDS = 10, 60
+
+# the bare loop: one process, one write a socket, nothing else
+BARE = """
+import asyncio, sys, time
+count, size = int(sys.argv[1]), int(sys.argv[2])
+async def main():
+    writers, there = [], asyncio.Event()
+    async def came(reader, writer):
+        writers.append(writer)
+        if len(writers) == count: there.set()
+        await reader.read()
+    server = await asyncio.start_server(came, "127.0.0.1", 0, backlog=4096)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await there.wait()
+    for n in range(10):
+        await asyncio.sleep(0.3)
+        now = time.monotonic_ns()
+        for writer in writers:
+            writer.write(now.to_bytes(8, "big") + b"x" * (size - 8))
+    await asyncio.sleep(0.5)
+asyncio.run(main())
+"""
+
+
+async def bare(count, size):
+    program = subprocess.Popen([sys.executable, "-c", BARE, str(count), str(size)], text=True,
+                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+    port = int(await anyio.to_thread.run_sync(program.stdout.readline))
+    took = []
+
+    async def peer():
+        async with await TcpNet().dial(f"127.0.0.1:{port}") as stream:
+            try:
+                while True:
+                    data = await stream.receive()
+                    took.append(time.monotonic_ns() - int.from_bytes(data[:8], "big"))
+            except anyio.EndOfStream:
+                pass
+    async with anyio.create_task_group() as group:
+        for _ in range(count):
+            group.start_soon(peer)
+    program.wait()
+    return took
+
+
+async def measure(proxies):
+    seen, sizes, told, gone = [], [], 0, None
+
+    def saw(_, now, orders, size):
+        if gone and any(getattr(do, "weight", 1) == 0 and do.backend == gone for do in orders.do):
+            seen.append(now - told)
+            sizes.append(size)
+    async with controller(BACKENDS, proxies, saw) as (inventory, names, _, _, result):
+        for n in range(ROUNDS):
+            gone, told, wanted = names[n], time.monotonic_ns(), len(seen) + proxies
+            inventory.list(gone, ("north", "south", "west")[n % 3], "draining")
+            with anyio.move_on_after(20):
+                while len(seen) < wanted:
+                    await anyio.sleep(0.05)
+            await anyio.sleep(0.6)
+    loop = await bare(proxies, max(16, part(sizes, 0.5)))
+    print(f"| {proxies} | {len(seen)} of {ROUNDS * proxies} | {ms(seen, 0.5)} | {ms(seen, 0.99)} | {ms(seen, 1)} | "
+          f"{ms(loop, 0.5)} | {ms(loop, 0.99)} | {ms(loop, 1)} | {part(seen, 1) / part(loop, 1):.1f} | "
+          f"{result['bound_s']:.2f} | {(result['joined_kib'] - result['idle_kib']) / proxies:.1f} | "
+          f"{result['module']:.2f} / {result['codec']:.2f} / {result['cpu'] - result['module'] - result['codec']:.2f} |",
+          flush=True)
+
+
+def ms(values, share):
+    return f"{part(values, share) / 1e6:.1f}"
+
+
+if __name__ == "__main__":
+    print("| proxies | told | p50 ms | p99 ms | max ms | bare p50 | bare p99 | bare max | max / bare max | all bound s | "
+          "KiB a proxy | CPU s: module / codec / transport |\n" + "| --- " * 12 + "|")
+    for size in map(int, sys.argv[1:] or ["150", "1000"]):
+        anyio.run(measure, size, backend_options={"use_uvloop": True})
--- /dev/null
+++ b/embertray/measure/timed.py
@@ -0,0 +1,65 @@
+"""`python -m embertray.measure.timed SITE.xml CONTROLLER`: serves as `embertray serve` does, and at its end prints how
+much CPU went into the module, the codec and the rest, as one JSON line on standard output."""
+import json
+import resource
+import signal
+import sys
+import time
+
+import anyio
+
+from ..choice import Controller
+from ..daemon import service as daemon
+from ..daemon.service import Service
+from ..days.player import quiet
+from ..inventory.lastlist import KeptInMemory
+from ..net.clock import LoopClock
+from ..net.tcp import TcpNet
+from ..site import load
+from ..stream.session import ControllerEnd
+
+
+class Spent:
+    def __init__(self):
+        self.by = {"module": 0.0, "codec": 0.0}
+
+    def timing(self, part, what):
+        def timed(*args):
+            began = time.perf_counter()
+            try:
+                return what(*args)
+            finally:
+                self.by[part] += time.perf_counter() - began
+        return timed
+
+
+async def run(site, name):
+    service = Service(site, site.controller(name), LoopClock(), TcpNet(), KeptInMemory(), 1, lambda: 0.5, quiet())
+
+    class Status:
+        @staticmethod
+        def started(addresses):
+            print(json.dumps({"listen": addresses[0], "admin": addresses[1]}), flush=True)
+
+    async def stop():
+        with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+            async for _ in signals:
+                service.stop()
+    async with anyio.create_task_group() as group:
+        group.start_soon(stop)
+        await service.run(task_status=Status)
+        group.cancel_scope.cancel()
+
+
+def main():
+    spent, site = Spent(), load(sys.argv[1])
+    Controller.step = spent.timing("module", Controller.step)
+    daemon.encode = spent.timing("codec", daemon.encode)
+    ControllerEnd.receive = spent.timing("codec", ControllerEnd.receive)
+    anyio.run(run, site, sys.argv[2], backend_options={"use_uvloop": True})
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    print(json.dumps({**spent.by, "cpu": used.ru_utime + used.ru_stime, "peak_kib": used.ru_maxrss}), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,306 @@
+"""The daemon by its sockets: strangers, slow readers, names that come twice, operators, signals."""
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import anyio
+from hypothesis import HealthCheck, given, settings, strategies as st
+
+from embertray.channel.outlet import OLDEST
+from embertray.daemon import Service
+from embertray.days.player import quiet
+from embertray.inventory.lastlist import Kept, KeptInMemory, LastList
+from embertray.inventory.messages import Listed
+from embertray.net.address import BadAddress, loopback
+from embertray.net.tcp import TcpNet
+from embertray.site import load
+from embertray.site.site import HERE as SITES
+from embertray.standin.inventory import StandinInventory
+from embertray.standin.parts import Agenda
+from embertray.standin.virtual import START, MemoryNet, VirtualClock, run
+from embertray.stream.messages import Answer, Bind, Fault, Orders, Welcome
+from embertray.stream.session import ProxyEnd, Refused
+
+HERE = Path(__file__).resolve().parent
+S = 10**9
+
+
+class Peer:
+    """A scripted proxy's stream."""
+
+    def __init__(self, stream, name, zone="north"):
+        self.stream, self.end, self.got = stream, ProxyEnd(name, zone, 5.0, True), []
+
+    async def hello(self):
+        await self.stream.send(self.end.start())
+        return self
+
+    async def until(self, kind, answer=True):
+        """The next message of a kind; marks on the way are answered."""
+        while True:
+            while self.got:
+                message = self.got.pop(0)
+                if answer and isinstance(message, Orders) and message.mark:
+                    await self.stream.send(self.end.pack(Answer(message.mark)))
+                if isinstance(message, kind):
+                    return message
+            try:
+                data = await self.stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return None
+            self.got += self.end.receive(data)
+
+
+class Room:
+    """One Service in virtual time with an inventory of three backends."""
+
+    async def __aenter__(self):
+        self.net, self.clock = MemoryNet(), VirtualClock()
+        self.group = anyio.create_task_group()
+        await self.group.__aenter__()
+        self.inventory = StandinInventory(self.net, Agenda(self.clock))
+        await self.group.start(self.inventory.run, "127.0.0.1:0")
+        for n in range(3):
+            self.inventory.list(f"127.0.0.1:900{n}", "north")
+        site = load(SITES / "samples" / "pushed.xml").at(inventory=self.inventory.address)
+        self.service = Service(site, site.controllers[0], self.clock, self.net, KeptInMemory(), 1, lambda: 0.5, quiet())
+        await self.group.start(self.service.run)
+        return self
+
+    async def __aexit__(self, *_):
+        self.service.stop()
+        self.group.cancel_scope.cancel()
+        await self.group.__aexit__(None, None, None)
+
+    async def dial(self):
+        return await self.net.dial(self.service.listen)
+
+    async def peer(self, name):
+        return await Peer(await self.dial(), name).hello()
+
+    async def ask(self, text):
+        async with await self.net.dial(self.service.admin) as stream:
+            await stream.send(text)
+            data = b""
+            try:
+                while True:
+                    data += await stream.receive()
+            except anyio.EndOfStream:
+                return data
+
+    async def page(self, method, path):
+        data = await self.ask(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        head, _, body = data.partition(b"\r\n\r\n")
+        return int(head.split()[1]), body.decode()
+
+
+def virtual(test):
+    def runs(self, *args):
+        async def main():
+            async with Room() as room:
+                await test(self, room, *args)
+        run(main)
+    runs.__name__, runs.__doc__ = test.__name__, test.__doc__
+    return runs
+
+
+class Streams(unittest.TestCase):
+    @virtual
+    async def test_a_joiner_is_bound_with_all_lines(self, room):
+        peer = await room.peer("p1")
+        self.assertEqual((await peer.until(Welcome)).kinds, ["view", "post"])
+        orders = await peer.until(Orders)
+        self.assertEqual([type(do) for do in orders.do], [Bind])
+        self.assertEqual(len(orders.do[0].lines), 3)
+
+    @virtual
+    async def test_the_same_name_twice_the_newer_stays(self, room):
+        first = await room.peer("p1")
+        await first.until(Orders)
+        second = await room.peer("p1")
+        self.assertEqual((await first.until(Fault)).code, "replaced")
+        self.assertEqual([type(do) for do in (await second.until(Orders)).do], [Bind])
+        await anyio.sleep(3)
+        self.assertEqual((len(room.service.streams), room.service.counted["leaves"]), (1, 1))
+
+    @virtual
+    async def test_each_bad_peer_gets_one_clear_error_and_nobody_else_is_touched(self, room):
+        good = await room.peer("good")
+        await good.until(Orders)
+        for data, code in ((b"\xff\xff\xff\xff", "oversized"), (b"\0\0\0\0", "empty"), (b"\0\0\0\1\xc1", "malformed"),
+                           (ProxyEnd.pack(Answer(1)), "order"), (b"\0\0\0\5ab", None), (b"", "hello")):
+            with self.subTest(data=data):
+                stream = await room.dial()
+                if data:
+                    await stream.send(data)
+                if code is None:
+                    await stream.send_eof()
+                end = ProxyEnd("x", "z", 0, True)
+                found = []
+                try:
+                    while data_in := await stream.receive():
+                        found += end.receive(data_in)
+                except (anyio.EndOfStream, Refused):
+                    pass
+                self.assertEqual([type(m) for m in found], [Fault])
+                self.assertEqual(found[0].code, code or "cut")
+        room.inventory.list("127.0.0.1:9000", "north", "draining")
+        self.assertIsNotNone(await good.until(Orders))
+        self.assertEqual(len(room.service.streams), 1)
+
+    @virtual
+    async def test_an_answer_to_no_open_mark_ends_that_stream(self, room):
+        peer = await room.peer("p1")
+        orders = await peer.until(Orders)
+        await peer.stream.send(peer.end.pack(Answer(orders.mark)))
+        self.assertEqual((await peer.until(Fault)).code, "order")
+
+    @virtual
+    async def test_a_mark_answered_after_its_proxy_left_moves_nothing(self, room):
+        peer = await room.peer("p1")
+        orders = await peer.until(Orders, answer=False)
+        await peer.stream.aclose()
+        again = await room.peer("p1")
+        await again.until(Orders, answer=False)
+        await again.stream.send(again.end.pack(Answer(orders.mark)))
+        self.assertEqual((await again.until(Fault, answer=False)).code, "order")
+
+    @virtual
+    async def test_a_proxy_that_never_reads_is_cut_and_told_to_wait(self, room):
+        quick, slow = await room.peer("quick"), await room.peer("slow")
+        await quick.until(Orders)
+        stream = room.service.streams["slow"]
+        stream.conn.stream.peer.held = 1 << 20         # its socket's buffers are full, and it does not read
+        for n in range(5):
+            room.inventory.list(f"127.0.0.1:91{n}0", "north", "ready", int(START * 1e9))
+            self.assertIsNotNone(await quick.until(Orders))
+            await anyio.sleep(1.5)
+        await anyio.sleep(OLDEST / 1e9)
+        self.assertEqual((room.service.counted["cuts"], list(room.service.streams)), (1, ["quick"]))
+        self.assertIsNotNone(slow)
+        again = await room.peer("slow")
+        fault = await again.until((Fault, Welcome))
+        self.assertTrue(isinstance(fault, Welcome) or fault.code == "later" and fault.wait > 0)
+
+    @virtual
+    async def test_a_thousand_dial_at_once_and_all_are_bound_within_the_pace(self, room):
+        began = room.clock.now()
+        peers = [await room.peer(f"p{n}") for n in range(1000)]
+        seen = []
+
+        async def bound(peer):
+            orders = await peer.until(Orders)
+            seen.append((room.clock.now() - began, len(orders.do)))
+        async with anyio.create_task_group() as group:
+            for peer in peers:
+                group.start_soon(bound, peer)
+        cost = 1000 * (4 + 1 + 1 + 3)
+        self.assertLess(max(at for at, _ in seen) / S, 1.5 * cost / 1200)
+        self.assertLessEqual(room.service.instance.pacer.peak, room.service.site.pending_max)
+
+    @settings(derandomize=True, deadline=None, max_examples=25, suppress_health_check=list(HealthCheck))
+    @given(st.lists(st.binary(min_size=1, max_size=60) | st.sampled_from([b"\0\0\0\3", b"\0\0\1\0", b"\x95\xa5hello\1"]),
+                    min_size=1, max_size=6))
+    def test_noise_on_a_live_listener(self, pieces):
+        self.noise(pieces)
+
+    @virtual
+    async def noise(self, room, pieces):
+        stream = await room.dial()
+        try:
+            for piece in pieces:
+                await stream.send(piece)
+                await anyio.sleep(0.01)
+            await stream.aclose()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            pass
+        await anyio.sleep(6)
+        good = await room.peer("good")
+        self.assertIsNotNone(await good.until(Orders))
+        self.assertEqual((room.service.admission.strangers, room.service.faults.get("internal", 0)), (0, 0))
+
+
+class Operators(unittest.TestCase):
+    @virtual
+    async def test_pages(self, room):
+        peer = await room.peer("p1")
+        await peer.until(Orders)
+        self.assertEqual(await room.page("GET", "/ready"), (200, "ready\n"))
+        self.assertIn("embertray_proxies 1\n", (await room.page("GET", "/metrics"))[1])
+        tables = json.loads((await room.page("GET", "/tables"))[1])
+        self.assertEqual(sum(len(t["lines"]) for t in tables if t["proxies"] == ["p1"]), 3)
+        self.assertEqual(json.loads((await room.page("GET", "/proxies"))[1])[0]["proxy"], "p1")
+        self.assertEqual((await room.page("POST", "/pace?share=0.5"))[0], 200)
+        self.assertEqual(json.loads((await room.page("GET", "/channel"))[1])["pace"], 0.5)
+        for method, path, status in (("POST", "/pace?share=7", 400), ("POST", "/pace", 400), ("GET", "/drain", 405),
+                                     ("GET", "/nowhere", 404)):
+            self.assertEqual((await room.page(method, path))[0], status)
+        self.assertIn(b" 400 ", await room.ask(b"nonsense\r\n\r\n"))
+
+    @virtual
+    async def test_a_drain_sends_proxies_away_step_by_step(self, room):
+        peers = [await room.peer(f"p{n}") for n in range(5)]
+        for peer in peers:
+            await peer.until(Orders)
+        self.assertEqual((await room.page("POST", "/drain"))[0], 202)
+        self.assertEqual({(await peer.until(Fault)).code for peer in peers}, {"draining"})
+        self.assertEqual((await room.page("GET", "/ready"))[0], 503)
+        turned = await (await room.peer("late")).until(Fault)
+        self.assertEqual(turned.code, "draining")
+        self.assertGreater(turned.wait, 0)
+
+
+class Process(unittest.TestCase):
+    """The program itself."""
+
+    def test_loopback_only(self):
+        for bad in ("10.0.0.1:1", "0.0.0.0:1", "example.org:1", "127.0.0.1", "127.0.0.1:70000", ":1"):
+            with self.assertRaises(BadAddress):
+                loopback(bad)
+        self.assertEqual(loopback("[::1]:5"), ("::1", 5))
+
+        async def main():
+            with self.assertRaises(BadAddress):
+                await TcpNet().listen("0.0.0.0:0")
+        anyio.run(main)
+
+    def test_serves_from_its_last_list_without_an_inventory_and_stops_on_sigterm(self):
+        with tempfile.TemporaryDirectory() as folder:
+            folder = Path(folder)
+            Kept(folder / "list").save(LastList(4, 5 * S, 0, [Listed("127.0.0.1:9000", "north")]))
+            text = (SITES / "samples" / "pushed.xml").read_text()
+            for old, new in (("127.0.0.1:7001", "127.0.0.1:0"), ("127.0.0.1:7011", "127.0.0.1:0"),
+                             ("127.0.0.1:7100", "127.0.0.1:1"), ('mode="push"', f'mode="push" keep="{folder}/list"')):
+                text = text.replace(old, new)
+            (folder / "site.xml").write_text(text)
+            program = subprocess.Popen(
+                [sys.executable, "-m", "embertray", "--log-format", "json", "serve", str(folder / "site.xml")],
+                stderr=subprocess.PIPE, text=True, cwd=HERE.parent, env={**os.environ})
+            try:
+                rows = iter(map(json.loads, program.stderr))
+                listen = next(row for row in rows if row["event"] == "listening")["listen"]
+
+                async def main():
+                    with anyio.fail_after(20):
+                        peer = await Peer(await TcpNet().dial(listen), "p1").hello()
+                        orders = await peer.until(Orders)
+                        self.assertEqual(orders.do[0].lines[0][0], "127.0.0.1:9000")
+                        program.send_signal(signal.SIGTERM)
+                        self.assertIsNone(await peer.until(Fault))
+                        await peer.stream.aclose()
+                anyio.run(main)
+                self.assertEqual(program.wait(10), 0)
+                self.assertIn("stopping", [row["event"] for row in rows])
+            finally:
+                program.kill()
+                program.wait()
+                program.stderr.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
