--- a/embertray/measure/accounting.py
+++ b/embertray/measure/accounting.py
@@ -4,10 +4,12 @@
 import resource
 import subprocess
 import sys
+import time
 import tracemalloc
 
 from ..core import Instance
 from ..emulator import churn
+from ..memory import Accounts
 from ..net.process import resident
 
 
@@ -41,6 +43,21 @@
         print(f"| {found['with']:.2f} | {found['without']:.2f} | {ratios[-1]:.3f} |", flush=True)
     print(f"median ratio {sorted(ratios)[2] / 2 + sorted(ratios)[3] / 2:.3f}\n")
 
+    spent, look = [0.0], Accounts.look
+
+    def timed(*args):
+        began = time.thread_time()
+        try:
+            return look(*args)
+        finally:
+            spent[0] += time.thread_time() - began
+    Accounts.look = timed
+    before = time.process_time()
+    churn.virtual(churn.Plan(hours=0.02), 1)
+    total = time.process_time() - before
+    Accounts.look = look
+    print(f"within one run: {spent[0]:.3f} s of {total:.2f} s CPU go into the accounts: {spent[0] / total:.2%}; "
+          f"{spent[0] / 72 * 1000:.2f} ms a second of the fleet's time\n")
     found = {}
 
     class Traced(Instance):
