--- /dev/null
+++ b/embertray/cli/lab.py
@@ -0,0 +1,129 @@
+"""`embertray lab run|report|compare|show|hunt`."""
+import datetime
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from ..lab import experiment as experiments
+from ..lab import hunt as hunting
+from ..lab import report as reports
+from ..lab import run as runner
+from ..lab.one import play
+from ..lab.results import Results
+from .standin import Bad
+
+
+def told(path):
+    try:
+        return experiments.load(path)
+    except experiments.BadExperiment as wrong:
+        raise Bad(str(wrong)) from None
+
+
+def opened(path):
+    if not Path(path).is_file():
+        raise Bad(f"{path}: no such results file")
+    results = Results(path)
+    row = results.text()
+    if not row:
+        raise Bad(f"{path}: it holds no experiment")
+    return results, experiments.read(row[0], path)
+
+
+@click.group()
+def lab():
+    """Experiments on whole fleets, in virtual time."""
+
+
+@lab.command("run")
+@click.argument("experiment")
+@click.option("--out", help="The results file; default: the experiment's name with .sqlite.")
+@click.option("--jobs", default=os.cpu_count(), show_default=True)
+@click.option("--retry", is_flag=True, help="Play runs again that died or hung.")
+def run(experiment, out, jobs, retry):
+    """Play EXPERIMENT.xml (or one that comes with the program); goes on where it was stopped."""
+    found = told(experiment)
+    results = Results(out or f"{found.name}.sqlite")
+    try:
+        results.begin(found, runner.commit(), datetime.datetime.now(datetime.timezone.utc).isoformat(timespec="seconds"))
+    except ValueError as wrong:
+        raise Bad(str(wrong)) from None
+    if retry:
+        results.forget_errors()
+
+    def tell(done, total):
+        if sys.stderr.isatty():
+            click.echo(f"\r{done} of {total} runs", nl=done == total, err=True)
+    runner.run(found, results, jobs, tell)
+    rows = list(results.rows())
+    click.echo(f"{len(rows)} runs, {sum(1 for r in rows if r['error'])} died, "
+               f"{sum(1 for r in rows if r['kept'] == 0)} with a broken rule")
+
+
+@lab.command()
+@click.argument("results")
+@click.option("--out", help="A Markdown file, with a chart beside it; default: standard output, no chart.")
+def report(results, out):
+    """Tables with intervals, worst seeds, and a chart."""
+    found, experiment = opened(results)
+    charts = []
+    if out:
+        name = Path(out).with_suffix(".png")
+        if reports.chart(experiment, found, name):
+            charts.append(name.name)
+    page = reports.page(experiment, found, charts)
+    if out:
+        Path(out).write_text(page)
+    else:
+        click.echo(page)
+
+
+@lab.command()
+@click.argument("one")
+@click.argument("two")
+def compare(one, two):
+    """The difference of two results files, run by run."""
+    click.echo(reports.compare(opened(one)[0], opened(two)[0]))
+
+
+@lab.command()
+@click.argument("results")
+@click.argument("key")
+@click.option("--events/--no-events", default=False, help="Its whole event log.")
+def show(results, key, events):
+    """Play one run of RESULTS again, by its KEY."""
+    _, experiment = opened(results)
+    found = next((r for r in experiment.runs() if r.key == key), None)
+    if found is None:
+        raise Bad(f"{key}: no such run; as {next(iter(experiment.runs())).key}")
+    result = play(experiment, found)
+    if events:
+        for event in result.events:
+            click.echo(f"{event.at / 1e9:.6f} {event.what} {event.who} {' '.join(map(str, event.rest))}")
+    click.echo(result.as_json())
+
+
+@lab.command()
+@click.option("--site", "sites", multiple=True, default=("pushed", "asked", "sealed"), show_default=True)
+@click.option("--tries", default=30, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--credit", is_flag=True, help="The day of the least credit, in place of days that break a rule.")
+@click.option("--out", default="found", show_default=True, help="Folder for the day files.")
+def hunt(sites, tries, seed, credit, out):
+    """Look for days on which a rule breaks; exit code 1 if one is found."""
+    def tell(n, total, result):
+        if sys.stderr.isatty():
+            click.echo(f"\r{n} of {total}", nl=n == total, err=True)
+    found = hunting.hunt(sites, tries, seed, not credit, tell=tell)
+    Path(out).mkdir(exist_ok=True)
+    for n, (text, result) in enumerate(found):
+        path = Path(out) / f"hunt-{seed}-{n + 1}.day"
+        path.write_text(text)
+        click.echo(f"{path}: {text.splitlines()[0][7:-1]}")
+        for rule, why in result.rules.items():
+            if why:
+                click.echo(f"  {rule}: {why[0]}")
+    click.echo(f"{tries} days, {0 if credit else len(found)} with a broken rule")
+    sys.exit(1 if found and not credit else 0)
--- a/embertray/cli/main.py
+++ b/embertray/cli/main.py
@@ -16,6 +16,7 @@
 from ..site import BadSite, load as load_site
 from . import logs
 from .emulate import emulate
+from .lab import lab
 from .standin import Bad, stand_in
 
 
@@ -30,6 +31,7 @@
 
 main.add_command(stand_in)
 main.add_command(emulate)
+main.add_command(lab)
 
 
 @main.command()
--- a/embertray/days/player.py
+++ b/embertray/days/player.py
@@ -248,15 +248,17 @@
         logging.ERROR))
 
 
-def play(day, mode="virtual", seed=1, progress=None, core=None, trust=None):
+def play(day, mode="virtual", seed=1, progress=None, core=None, trust=None, on_stage=None):
     """Plays a Day and gives its Result. `core`, `trust`: other classes in place of core.Instance and
-    trust.Trust (virtual only)."""
+    trust.Trust (virtual only). `on_stage(stage)` before it begins."""
     began = time.monotonic()
     if mode == "virtual":
         async def main():
             net = MemoryNet()
             clock = VirtualClock()
             stage = Stage(day, seed, net, clock, controllers.InMemory(net, clock, seed, quiet(), core, trust), progress)
+            if on_stage:
+                on_stage(stage)
             await stage.play()
             return stage
         stage = run_virtual(main)
--- /dev/null
+++ b/embertray/lab/experiment.py
@@ -0,0 +1,99 @@
+"""Reads an experiment (XML checked against lab.xsd) and tells its runs: levels by arms by seeds."""
+import itertools
+import string
+from dataclasses import dataclass
+from functools import cache
+from pathlib import Path
+
+from lxml import etree
+
+from ..days import notation
+
+HERE = Path(__file__).resolve().parent
+
+
+class BadExperiment(ValueError):
+    """Names file, line and what was expected."""
+
+
+@dataclass(frozen=True)
+class Run:
+    """One run. `key` names it in a results file."""
+    levels: tuple           # ((factor, level), ...)
+    arm: str
+    policy: str
+    facts: str
+    seed: int
+
+    @property
+    def key(self):
+        return ";".join([*(f"{k}={v}" for k, v in self.levels), self.arm, str(self.seed)])
+
+
+@dataclass(frozen=True)
+class Experiment:
+    name: str
+    about: str
+    text: str               # of the whole file, kept with the results
+    day: str
+    factors: tuple          # ((name, (level, ...)), ...)
+    arms: tuple             # ((name, policy, facts), ...)
+    seeds: tuple
+    seconds: int            # of wall time that a run may take
+
+    def runs(self):
+        """All runs; the same seed in every arm, so that arms meet the same reqs and troubles."""
+        for levels in itertools.product(*(tuple((name, level) for level in found) for name, found in self.factors)):
+            for seed in self.seeds:
+                for arm, policy, facts in self.arms:
+                    yield Run(levels, arm, policy, facts, seed)
+
+    def day_of(self, run):
+        """The Day of a run. Raises notation.BadDay."""
+        text = string.Template(self.day).substitute(dict(run.levels))
+        if run.facts:
+            text = text.replace("\nfleet", f" {run.facts}\nfleet", 1)
+        return notation.read(text, f"{self.name}.day")
+
+
+@cache
+def schema():
+    return etree.XMLSchema(etree.parse(HERE / "lab.xsd"))
+
+
+def load(path):
+    """The Experiment of a file, or of one that comes with the program. Raises BadExperiment."""
+    found = Path(path)
+    if not found.suffix and not found.is_file():
+        found = HERE / "experiments" / f"{path}.xml"
+    try:
+        text = found.read_text()
+    except OSError as wrong:
+        raise BadExperiment(f"{path}: {wrong.strerror}; there are "
+                            f"{', '.join(sorted(p.stem for p in (HERE / 'experiments').glob('*.xml')))}") from None
+    return read(text, str(found))
+
+
+def read(text, path="experiment"):
+    try:
+        root = etree.fromstring(text.encode(), etree.XMLParser(resolve_entities=False, no_network=True))
+    except etree.XMLSyntaxError as wrong:
+        raise BadExperiment(f"{path}:{wrong.lineno}: not well-formed XML: {wrong.msg}") from None
+    if not schema().validate(root):
+        first = schema().error_log[0]
+        raise BadExperiment(f"{path}:{first.line}: {first.message}")
+    seeds = root.find("seeds")
+    first, last = int(seeds.get("from", "1")), int(seeds.get("to"))
+    day = "\n".join(row.strip() for row in root.findtext("day").strip().split("\n"))
+    found = Experiment(
+        root.get("name"), (root.findtext("about") or "").strip(), text, day,
+        tuple((f.get("name"), tuple(level.text.strip() for level in f)) for f in root.iterfind("factor")),
+        tuple((a.get("name"), a.get("policy"), a.get("facts", "")) for a in root.iterfind("arm")),
+        tuple(range(first, last + 1)), int(root.get("seconds", "120")))
+    try:
+        for run in found.runs():
+            if run.seed == first:
+                found.day_of(run)
+    except (notation.BadDay, KeyError, ValueError) as wrong:
+        raise BadExperiment(f"{path}:{root.find('day').sourceline}: the day can't be used: {wrong}") from None
+    return found
