--- a/embertray/days/controllers.py
+++ b/embertray/days/controllers.py
@@ -33,6 +33,9 @@
             await self.up(me.name)
 
     async def up(self, name):
+        """Starts it, unless another trouble has done so already."""
+        if name in self.running:
+            return
         gate, life = Gate(), self.lives.get(name, 0)
         self.lives[name] = life + 1
         net = GatedNet(self.net, gate)
@@ -56,6 +59,8 @@
         return self.at[name].admin
 
     def kill(self, name):
+        if name not in self.running:
+            return
         _, scope, gate, net = self.running.pop(name)
         net.kill()
         gate.release()
@@ -70,10 +75,12 @@
                 structs.replace(e, confirmed=e.confirmed - by) for e in last.entries], last.gone)
 
     def freeze(self, name):
-        self.running[name][2].shut()
+        if name in self.running:
+            self.running[name][2].shut()
 
     def thaw(self, name):
-        self.running[name][2].release()
+        if name in self.running:
+            self.running[name][2].release()
 
     async def stop(self):
         for name, (service, _, gate, _) in self.running.items():
@@ -114,6 +121,8 @@
         return path
 
     async def up(self, name):
+        if name in self.running:
+            return
         process = await anyio.open_process(
             [sys.executable, "-m", "embertray", "--log-format", "json", "--log-level", "info", "serve",
              str(self.describe(name)), "--controller", name, "--seed", str(self.seed)], stdout=None, stderr=-1)
@@ -141,14 +150,18 @@
         return self.at[name].admin
 
     def kill(self, name):
-        process = self.running.pop(name)
-        os.kill(process.pid, signal.SIGKILL)
+        if name in self.running:
+            os.kill(self.running.pop(name).pid, signal.SIGKILL)
 
     def freeze(self, name):
-        os.kill(self.running[name].pid, signal.SIGSTOP)
+        self.signal(name, signal.SIGSTOP)
 
     def thaw(self, name):
-        os.kill(self.running[name].pid, signal.SIGCONT)
+        self.signal(name, signal.SIGCONT)
+
+    def signal(self, name, what):
+        if name in self.running:
+            os.kill(self.running[name].pid, what)
 
     async def stop(self):
         for process in self.running.values():
--- a/embertray/days/troubles.py
+++ b/embertray/days/troubles.py
@@ -3,6 +3,7 @@
 
 from ..inventory.messages import Listed
 from ..site.site import time as span
+from ..standin.parts import BROKEN
 from ..stream.frames import frame
 from ..stream.session import ProxyEnd
 
@@ -322,12 +323,18 @@
 
     async def do_slow_channel(self):
         for name in (struck := self.controllers()):
-            self.note("pace", name, 1 / self.told.times)
-            await self.stage.admin(name, "POST", f"/pace?share={1 / self.told.times:.6f}")
+            await self.pace(name, 1 / self.told.times)
         await self.wait(self.told.lasts)
         for name in struck:
-            await self.stage.admin(name, "POST", "/pace?share=1")
-            self.note("pace", name, 1.0)
+            await self.pace(name, 1.0)
+
+    async def pace(self, name, part):
+        """By the operators' door, unless the controller is down."""
+        try:
+            await self.stage.admin(name, "POST", f"/pace?share={part:.6f}")
+        except BROKEN:
+            return
+        self.note("pace", name, part)
 
     async def do_garbage(self):
         """Strangers on the proxies' door: noise, half frames, a gigabyte announced, a hello that never comes."""
