--- a/embertray/emulator/flows.py
+++ b/embertray/emulator/flows.py
@@ -5,6 +5,7 @@
 """
 import anyio
 
+from ..net.conn import Conn
 from ..stream.holding import Holding
 from ..stream.messages import Answer, Came, Met, Orders, Sums
 from ..stream.session import ProxyEnd, Refused
@@ -38,7 +39,7 @@
 
     def __init__(self, name, zone, rate, fleet):
         self.name, self.zone, self.rate, self.fleet = name, zone, rate, fleet
-        self.holding, self.end, self.stream, self.scope = Holding(), None, None, anyio.CancelScope()
+        self.holding, self.end, self.conn, self.scope = Holding(), None, None, anyio.CancelScope()
         self.orders = 0
 
     async def run(self):
@@ -53,29 +54,28 @@
                 await self.fleet.clock.sleep_until(self.fleet.clock.now() + wait)
 
     async def stay(self):
-        self.end = ProxyEnd(self.name, self.zone, self.rate, True)
-        async with await self.fleet.net.dial(self.fleet.address) as stream:
-            await stream.send(self.end.start())
+        self.end, wait = ProxyEnd(self.name, self.zone, self.rate, True), 0
+        async with await self.fleet.net.dial(self.fleet.address) as stream, anyio.create_task_group() as group:
+            conn = Conn(stream)
+            conn.put(self.end.start())
+            group.start_soon(conn.write)
             try:
                 while not self.end.over:
-                    try:
-                        data = await stream.receive()
-                    except anyio.EndOfStream:
-                        return 0
-                    for message in self.end.receive(data):
+                    for message in self.end.receive(await conn.read()):
                         if isinstance(message, Orders):
                             self.orders += 1
                             self.holding.apply(message)
                             if message.mark:
-                                await stream.send(self.end.pack(Answer(message.mark)))
+                                conn.put(self.end.pack(Answer(message.mark)))
                         elif self.end.over:
-                            return message.wait
+                            wait = message.wait
                         else:
-                            self.stream = stream
+                            self.conn = conn
             finally:
-                self.stream = None
+                self.conn = None
                 self.holding.left()
-        return 0
+                group.cancel_scope.cancel()
+        return wait
 
     def leave(self):
         self.scope.cancel()         # before it has started, too
@@ -141,11 +141,8 @@
                 load = {"busy": round(min(1.0, be.full), 3)} if be else {}
                 met.append(Met(name, n, bad, (n - bad) * (be.took if be else 0), load))
             self.errored += lost
-            if px.stream is not None:
+            if px.conn is not None:
                 share = [count // len(self.kinds)] * len(self.kinds)
                 share[0] += count - sum(share)
                 came = [Came(kind, part, 0) for kind, part in zip(self.kinds, share)]
-                try:
-                    await px.stream.send(px.end.pack(Sums(self.cycle, met, came)))
-                except BROKEN:
-                    pass
+                px.conn.put(px.end.pack(Sums(self.cycle, met, came)))
