Shedding ahead of lost capacity asks whether those left are busy

Cause, found by the lab's first experiment: the most that was done counted as what can be done, so a fleet at a third of its capacity that lost some was cut by a third.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -37,6 +37,7 @@
 HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
 LOOK, DONE_KEEP = 1 * S, 40     # ns between looks at the load, and looks whose most done is what can be done
 SURE, SURE_LOOKS, SHRUNK = 1.3, 10, 0.85   # x that most a unit is let in, if known and capacity is so shrunk
+ROOMY = 0.7              # told busy share that those left would come to: below, they can do it all
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
 AGAIN, GROW, FALLS = 0.9, 1.015, 0.9   # x the goal where a queue comes back; a look; a wait so falling
 LET_LEAST, SHED_MOST = 0.3, 0.97   # of what usually comes, let in at least; shed of a kind at most
@@ -89,6 +90,7 @@
 
     def on_heard(self, ev):
         self.hub.spans.append(ev.span)
+        self.hub.tells_busy = "busy" in ev.load or self.hub.tells_busy
         if self.now - ev.span >= self.deaf_until and ev.tries > 0:
             # its own word of how loaded it is: the first such figure that reports carry
             load = next((ev.load[name] for name in ("busy", "waiting", "held") if name in ev.load), None)
@@ -204,7 +206,9 @@
         # mid: the wait in queues. In a jam proxies shun full backends and take the empty one: cold ones wait
         jam = mid > LOW * self.hub.target and any(r.warm >= 1 for r in rows)
         falls = done > 0 and self.means[-1] < FALLS * self.means[-min(AGO, len(self.means))]
-        self.hub.levels.tell("state", mid, falls, *(sum(r.short[k] for r in rows) for k in (0, 1, 3)),
+        loads = [r.load for r in rows if r.load is not None] if self.hub.tells_busy else []
+        busy = sum(loads) / len(loads) if loads else 1.0
+        self.hub.levels.tell("state", mid, falls, busy, *(sum(r.short[k] for r in rows) for k in (0, 1, 3)),
                              sum(caps[r.be] * r.warm for r in rows) or 1.0, any(r.warm < 1 for r in rows))
         self.lines({r.be: caps[r.be] * r.warm * health[r.be] for r in rows if r.warm >= 1 or not jam}, need)
 
@@ -268,7 +272,7 @@
     def on_demand(self, px, rates):
         self.rates[px] = rates
 
-    def on_state(self, mid, falls, tries, bad, done, able, cold):
+    def on_state(self, mid, falls, busy, tries, bad, done, able, cold):
         rates, self.rates, hub = self.rates, {}, self.hub
         if tries and bad / tries > MOST_FAIL:
             self.calm_at = hub.now + hub.timeout
@@ -288,7 +292,9 @@
                 if self.goal * able > coming:
                     self.goal = None
                     hub.orders.append(i.Log("overload over: all let in"))
-            sure = SURE * most if len(self.done) > SURE_LOOKS and able < SHRUNK * ably else ALL_RATE
+            # what most was done is what could be done only where the rest could not do all of it
+            shrunk = len(self.done) > SURE_LOOKS and able < SHRUNK * ably and busy * ably > ROOMY * able
+            sure = SURE * most if shrunk else ALL_RATE
             over = coming - (sure if self.goal is None else self.goal) * able
             self.shed(rates, max(over, (1 - WARY) * coming if cold and hub.now < self.calm_at else 0.0))
         retry = 0 if hub.now < self.calm_at else 1      # 1: only after proof that the first never ran
@@ -518,7 +524,7 @@
     def __init__(self, seed, site, now=0):
         self.site, self.now, self.born, self.orders = site, now, now, []
         self.ready, self.bes, self.pxs, self.beat_at, self.spans = deque(), [], [], 0, deque(maxlen=KEEP)
-        self.forget_at = now + SWEEP
+        self.forget_at, self.tells_busy = now + SWEEP, False
         self.all_in = ALL_RATE if site.throttle == "rate" else 1.0
         self.timeout = max((k.client_timeout for k in site.kinds), default=S)
         kinds = site.kinds
