--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -103,6 +103,18 @@
         await anyio.sleep(2)
         self.assertIsInstance(await (await room.peer("late")).until((Welcome, Fault)), Welcome)
 
+    @virtual
+    async def test_a_fleet_of_twice_the_named_size_meets_no_cap(self, room):
+        for n in range(2 * room.service.site.backends):
+            room.inventory.list(f"127.0.1.{n + 1}:9000", "north")
+        peers = [await room.peer(f"p{n}") for n in range(2 * room.service.site.proxies)]
+        for peer in peers:
+            self.assertIsInstance(await peer.until((Welcome, Fault)), Welcome)
+        await anyio.sleep(5)
+        rows = room.service.memory()["purposes"]
+        self.assertEqual([row["purpose"] for row in rows if row["acts"]], [])
+        self.assertTrue(all(row["bytes"] > 0 for row in rows if row["purpose"] not in ("probes", "reports")))
+
     @partial(virtual, caps={"list": 3000, "tables": 10**7})
     async def test_new_backends_wait_and_what_goes_is_never_held(self, room):
         peer = await room.peer("p1")
