--- a/embertray/cli/main.py
+++ b/embertray/cli/main.py
@@ -8,6 +8,7 @@
 import click
 import h11
 
+from ..admin.ask import ask
 from ..days import notation, player
 from ..memory.caps import COLLECT
 from ..model.chance import Streams
@@ -98,8 +99,8 @@
         except BadSite as wrong:
             raise Bad(str(wrong)) from None
     try:
-        held = json.loads(anyio.run(ask, admin, "/memory"))
-    except (OSError, BadAddress, ValueError) as wrong:
+        held = json.loads(anyio.run(page, admin, "/memory"))
+    except (OSError, BadAddress, ValueError, h11.RemoteProtocolError) as wrong:
         raise Bad(f"{admin}: {wrong or type(wrong).__name__}") from None
     if as_json:
         click.echo(json.dumps(held))
@@ -113,24 +114,10 @@
                f"{held['unaccounted'] / 2**20:.1f} under no purpose")
 
 
-async def ask(address, path):
+async def page(address, path):
     """The body of one operators' page."""
-    conn, body = h11.Connection(h11.CLIENT), b""
     with anyio.fail_after(5):
-        async with await TcpNet().dial(address) as stream:
-            await stream.send(conn.send(h11.Request(method="GET", target=path, headers=[("Host", "admin")]))
-                              + conn.send(h11.EndOfMessage()))
-            while True:
-                event = conn.next_event()
-                if event is h11.NEED_DATA:
-                    try:
-                        conn.receive_data(await stream.receive())
-                    except anyio.EndOfStream:
-                        conn.receive_data(b"")
-                elif isinstance(event, h11.Data):
-                    body += bytes(event.data)
-                elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
-                    return body
+        return (await ask(TcpNet(), address, "GET", path))[1]
 
 
 @main.command()
--- a/embertray/days/player.py
+++ b/embertray/days/player.py
@@ -10,9 +10,9 @@
 from pathlib import Path
 
 import anyio
-import h11
 import structlog
 
+from ..admin.ask import ask
 from ..model.backend import Backend, Shape
 from ..model.chance import Streams
 from ..net.clock import LoopClock
@@ -206,24 +206,7 @@
 
     async def admin(self, name, method, target):
         """(status, body) of one request at a controller's operators' door, over its socket."""
-        conn = h11.Connection(h11.CLIENT)
-        body, status = b"", 0
-        async with await self.net.dial(self.held.admin(name)) as stream:
-            await stream.send(conn.send(h11.Request(method=method, target=target, headers=[("Host", "admin")]))
-                              + conn.send(h11.EndOfMessage()))
-            while True:
-                event = conn.next_event()
-                if event is h11.NEED_DATA:
-                    try:
-                        conn.receive_data(await stream.receive())
-                    except anyio.EndOfStream:
-                        conn.receive_data(b"")
-                elif isinstance(event, h11.Response):
-                    status = event.status_code
-                elif isinstance(event, h11.Data):
-                    body += bytes(event.data)
-                else:
-                    return status, body
+        return await ask(self.net, self.held.admin(name), method, target)
 
 
 def judge(stage, mode, seed, wall):
--- a/embertray/emulator/churn.py
+++ b/embertray/emulator/churn.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from ..admin.ask import ask
 from ..core import Instance
 from ..daemon import Service
 from ..days.player import quiet
@@ -87,11 +88,13 @@
         for second in range(end):
             await self.clock.sleep_until(began + second * S)
             await fleet.tick()
-            for _ in range(rng.poisson(plan.leaves / 60)):
+            due = [int((second + 1) * each_minute / 60) - int(second * each_minute / 60)    # evenly: chance in how many
+                   for each_minute in (plan.leaves, plan.replaced)]                       # are about would hide a leak
+            for _ in range(due[0]):
                 px = fleet.proxies.pop(list(fleet.proxies)[int(rng.integers(len(fleet.proxies)))])
                 px.leave()
                 fleet.add_proxy(px.zone, rate)
-            for _ in range(rng.poisson(plan.replaced / 60)):
+            for _ in range(due[1]):
                 group.start_soon(self.replace, each)
             if second // 60 > minute:
                 minute = second // 60
@@ -138,7 +141,6 @@
 
 def sockets(plan, seed=1):
     """The same over loopback sockets and in real time, the controller a process of its own."""
-    from ..cli.main import ask
     from ..measure.fleet import describe
 
     async def main():
@@ -159,7 +161,7 @@
                 address = await churn.prepare(group, where)
 
                 async def look():
-                    return json.loads(await ask(churn.admin, "/memory"))
+                    return json.loads((await ask(churn.net, churn.admin, "GET", "/memory"))[1])
                 try:
                     await churn.play(group, address, look)
                 finally:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -193,7 +193,7 @@
 
 
 class Churn(unittest.TestCase):
-    PLAN = dict(backends=8, proxies=10, reqs=60.0, hours=0.25, leaves=30.0, replaced=6.0)
+    PLAN = dict(backends=8, proxies=12, reqs=60.0, hours=0.3, leaves=30.0, replaced=6.0)
 
     def flat(self, core=None):
         done = churn.virtual(churn.Plan(**self.PLAN), 1, core)
