--- a/embertray/measure/charts.py
+++ b/embertray/measure/charts.py
@@ -1,4 +1,7 @@
-"""`python -m embertray.measure.charts OUT.png CHURN.jsonl [TITLE]`: each purpose's usual size over the minutes of a churn."""
+"""`python -m embertray.measure.charts OUT.png CHURN.jsonl [TITLE]`: each purpose's usual size over a churn's minutes.
+
+With a file that ends in .md, the table of embertray.measure.start: credit by the share replaced, for each way.
+"""
 import json
 import sys
 
@@ -23,5 +26,25 @@
     figure.savefig(out, dpi=80)
 
 
+def start(out, source):
+    """From the report's table: lists an hour old, as the tables and behind them."""
+    rows = [[cell.strip() for cell in row.strip("| \n").split("|")] for row in open(source) if row.startswith("| ")]
+    rows = [row for row in rows if len(row) == 8 and row[1] == "60min"]
+    figure, axes = pyplot.subplots(1, 2, figsize=(9, 3.4), sharey=True)
+    for axis, kind in zip(axes, ("as the tables", "behind the tables")):
+        mine = [row for row in rows if row[0] == kind]
+        for n, way in enumerate(("by age", "in full", "waits")):
+            axis.plot([float(row[2].rstrip("%")) for row in mine], [float(row[3].split("/")[n]) for row in mine],
+                      marker="o", label=way)
+        axis.set(xlabel="replaced, percent", title=f"list an hour old, {kind}", ylim=(0, 1.02))
+    axes[0].set(ylabel="credit")
+    axes[0].legend()
+    figure.tight_layout()
+    figure.savefig(out, dpi=80)
+
+
 if __name__ == "__main__":
+    if sys.argv[2].endswith(".md"):
+        start(sys.argv[1], sys.argv[2])
+        sys.exit()
     churn(sys.argv[1], sys.argv[2], sys.argv[3] if len(sys.argv) > 3 else "usual size by purpose")
