--- a/embertray/days/controllers.py
+++ b/embertray/days/controllers.py
@@ -12,7 +12,7 @@
 
 from ..core import Instance
 from ..daemon import Service
-from ..durable.snapshot import KeptInMemory, Snapshot
+from ..durable.snapshot import Kept, KeptInMemory, Snapshot
 from ..trust import Trust
 from ..standin.virtual import Gate, GatedClock, GatedNet
 
@@ -71,8 +71,7 @@
         kept = self.kept[name]
         last = kept.first if from_start else kept.last
         if last is not None:
-            kept.last = Snapshot(last.epoch, last.clock, last.wall - by, last.boot, last.mono, [
-                structs.replace(e, confirmed=e.confirmed - by) for e in last.entries], last.gone)
+            kept.last = older(last, by)
 
     def freeze(self, name):
         if name in self.running:
@@ -88,6 +87,12 @@
             service.stop()
 
 
+def older(last, by):
+    """A snapshot as if it had been written so much (ns) before, in another boot."""
+    return Snapshot(last.epoch, last.clock, last.wall - by, "", 0, [
+        structs.replace(e, confirmed=e.confirmed - by) for e in last.entries], last.gone)
+
+
 class Processes:
     """Each controller the true program, `embertray serve`, on loopback; killed and stopped by signals."""
 
@@ -153,6 +158,16 @@
         if name in self.running:
             os.kill(self.running.pop(name).pid, signal.SIGKILL)
 
+    def age(self, name, by, from_start):
+        """As InMemory.age, in the state folder; the first that is still there, of the few that are kept."""
+        kept = Kept(self.folder / f"{name}.list")
+        numbers = kept.store.numbers()
+        for number in numbers[1:] if from_start else ():
+            kept.store.path(number).unlink()
+        last, _ = kept.load()
+        if last is not None:
+            kept.save(older(last, by))
+
     def freeze(self, name):
         self.signal(name, signal.SIGSTOP)
 
