--- a/embertray/benchlink/wire.py
+++ b/embertray/benchlink/wire.py
@@ -2,15 +2,14 @@
 import traceback
 
 from .. import interface as i
+from ..briefing import BadBriefing, Briefing
+from ..briefing.briefing import number
 from ..choice import Controller
 from ..door import Door
 
 US = 1000
-AGAIN = {"read_like": "replayable", "idempotency_key": "uniqued", "non_idempotent": "non-replayable"}
 STATES = {0: "draining", 1: "gone", 2: "ready"}
 LISTS = {0: "changes", 1: "whole", 2: "cached", 3: "failed"}
-LOADS = {"active": "held", "waiting": "waiting", "cpu": "busy", "avg_ms": "service_ms", "rps": "rate",
-         "err_rps": "errored_rate"}
 
 
 class BadWire(Exception):
@@ -23,13 +22,6 @@
     raise ValueError(text)
 
 
-def number(text):
-    value = float(text)
-    if value != value or value in (float("inf"), float("-inf")):
-        raise ValueError(text)
-    return value
-
-
 # field -> (reader, needed); fields that are not named here are skipped
 FIELDS = {
     "SYNC": {"t-us": (int, True), "batch": (int, True)},
@@ -88,46 +80,12 @@
 
     def __init__(self, seed, raw, clock):
         super().__init__()
-        self.raw = raw
-        self.reports = [LOADS.get(name, name) for name in self.text("feedback.fields").split(",") if name]
-        self.kinds = {}
-        for k in range(int(self.figure("profiles.count"))):
-            kind = i.ReqKind(self.time(f"profiles.{k}.aim"), self.time(f"profiles.{k}.deadline"),
-                             self.figure(f"profiles.{k}.worth", 1.0),
-                             AGAIN.get(self.text(f"profiles.{k}.effect"), "non-replayable"),
-                             self.text(f"profiles.{k}.group", "all"), k)
-            self.kinds[self.text(f"profiles.{k}.name", str(k))] = kind
-        names = [name for name in self.text("zones").split(",") if name]
-        self.module = Controller(seed, i.Deployment(
-            list(self.kinds.values()), [self.zone(name) for name in names], self.zone(self.text("az")),
-            int(self.figure("balancers", 1)), int(self.figure("specifics.agents")),
-            self.text("discovery") == "ask", self.time("contract.must-ask-in"), self.yes("caps.probes"),
-            {"silent": "none"}.get(self.text("specifics.throttle-by"), self.text("specifics.throttle-by", "none")),
-            self.text("specifics.selects-by", "weighted"), int(self.figure("specifics.base-mode")),
-            int(self.figure("specifics.partitions-n")), self.time("specifics.blackhole"),
-            self.figure("specifics.pending-max"), self.figure("specifics.channel-rate"),
-            self.figure("specifics.head"), self.time("specifics.push-delay"),
-            self.time("specifics.push-delay-max"), int(self.figure("specifics.messages-most")),
-            self.time("specifics.update-window"), self.time("specifics.cycle"),
-            self.figure("contract.cold-from", 1.0), self.time("contract.warm-after"),
-            self.figure("contract.fall-multiple"), self.time("contract.fall"),
-            self.time("contract.drain-grace"), self.figure("fees.cross-zone"),
-            not self.yes("contract.dropped-stay-open")), clock)
-
-    def text(self, key, other=""):
-        return self.raw.get(key, other)
-
-    def figure(self, key, other=0.0):
         try:
-            return number(self.raw[key]) if key in self.raw else other
-        except ValueError:
-            raise BadWire(f"ENLIST: '{self.raw[key]}' is no good value for {key}") from None
-
-    def time(self, key):
-        return int(self.figure(key + "-us") * US)
-
-    def yes(self, key):
-        return self.text(key) in ("true", "1")
+            told = Briefing(raw)
+            self.reports, self.kinds = told.reports, told.kinds
+            self.module = Controller(seed, told.deployment(self), clock)
+        except BadBriefing as wrong:
+            raise BadWire(f"ENLIST: {wrong}") from None
 
     def load(self, got):
         try:
--- /dev/null
+++ b/embertray/briefing/briefing.py
@@ -0,0 +1,106 @@
+"""The start settings: flat path=value pairs of the bench's wire, or the same names nested in JSON.
+
+Names are the operators' (their dialect's); they end here. Times there are microseconds, here nanoseconds.
+"""
+from .. import interface as i
+
+US = 1000
+AGAIN = {"read_like": "replayable", "idempotency_key": "uniqued", "non_idempotent": "non-replayable"}
+THROTTLES = {"silent": "none"}
+# load reports, by the dialect's names and by the common ones
+LOADS = {"active": "held", "waiting": "waiting", "cpu": "busy", "avg_ms": "service_ms", "rps": "rate", "err_rps": "errored_rate",
+         "inflight": "held", "queue": "waiting", "util": "busy", "latency_ms": "service_ms", "qps": "rate", "eps": "errored_rate"}
+
+
+class BadBriefing(ValueError):
+    """A value can't be read; the text names it and its key."""
+
+
+def flat(nested, path=""):
+    """Nested JSON as the wire's pairs: {'a': {'b': [1, 2]}} gives {'a.b': '1,2'}; lists of objects get .count, .0, .1."""
+    found = {}
+    for name, value in nested.items():
+        key = path + name
+        if isinstance(value, dict):
+            found.update(flat(value, key + "."))
+        elif isinstance(value, list) and value and isinstance(value[0], dict):
+            found[key + ".count"] = str(len(value))
+            for k, one in enumerate(value):
+                found.update(flat(one, f"{key}.{k}."))
+        elif isinstance(value, list):
+            found[key] = ",".join(map(plain, value))
+        elif value is not None:
+            found[key] = plain(value)
+    return found
+
+
+def plain(value):
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def number(text):
+    """A finite float. Raises ValueError."""
+    value = float(text)
+    if value != value or value in (float("inf"), float("-inf")):
+        raise ValueError(text)
+    return value
+
+
+class Briefing:
+    """Reads one instance's settings. `kinds`: name -> ReqKind, whose `door` is its place; `reports`: our names of a load
+    report's values in their order; `zones`: names. Raises BadBriefing."""
+
+    def __init__(self, raw):
+        self.raw = raw
+        self.reports = [LOADS.get(name, name) for name in self.names("feedback.fields")]
+        self.zones, self.proxies = self.names("zones"), int(self.figure("specifics.agents"))
+        self.tick = self.time("tick")
+        self.kinds = {}
+        for k in range(int(self.figure("profiles.count"))):
+            kind = i.ReqKind(self.time(f"profiles.{k}.aim"), self.time(f"profiles.{k}.deadline"),
+                             self.figure(f"profiles.{k}.worth", 1.0),
+                             AGAIN.get(self.text(f"profiles.{k}.effect"), "non-replayable"),
+                             self.text(f"profiles.{k}.group", "all"), k)
+            self.kinds[self.text(f"profiles.{k}.name", str(k))] = kind
+
+    @classmethod
+    def nested(cls, settings):
+        """From the JSON object of a platform's configuration."""
+        return cls(flat(settings))
+
+    def deployment(self, door):
+        """What the decision module is told at its start; zones become the door's objects."""
+        return i.Deployment(
+            kinds=list(self.kinds.values()), zones=[door.zone(name) for name in self.zones], home=door.zone(self.text("az")),
+            controllers=int(self.figure("balancers", 1)), proxies=self.proxies,
+            ask=self.text("discovery") == "ask", ask_within=self.time("contract.must-ask-in"),
+            may_probe=self.yes("caps.probes"),
+            throttle=THROTTLES.get(self.text("specifics.throttle-by"), self.text("specifics.throttle-by", "none")),
+            pick=self.text("specifics.selects-by", "weighted"), retry_base=int(self.figure("specifics.base-mode")),
+            slices=int(self.figure("specifics.partitions-n")), bare_limit=self.time("specifics.blackhole"),
+            pending_max=self.figure("specifics.pending-max"), channel_rate=self.figure("specifics.channel-rate"),
+            head=self.figure("specifics.head"), way_mean=self.time("specifics.push-delay"),
+            way_max=self.time("specifics.push-delay-max"), messages_max=int(self.figure("specifics.messages-most")),
+            messages_window=self.time("specifics.update-window"), report_cycle=self.time("specifics.cycle"),
+            cold_from=self.figure("contract.cold-from", 1.0), warm_after=self.time("contract.warm-after"),
+            fall_multiple=self.figure("contract.fall-multiple"), fall_after=self.time("contract.fall"),
+            drain_grace=self.time("contract.drain-grace"), cross_fee=self.figure("fees.cross-zone"),
+            drops_bind=not self.yes("contract.dropped-stay-open"))
+
+    def text(self, key, other=""):
+        return self.raw.get(key, other)
+
+    def names(self, key):
+        return [name for name in self.text(key).split(",") if name]
+
+    def figure(self, key, other=0.0):
+        try:
+            return number(self.raw[key]) if key in self.raw else other
+        except ValueError:
+            raise BadBriefing(f"'{self.raw[key]}' is no good value for {key}") from None
+
+    def time(self, key):
+        return int(self.figure(key + "-us") * US)
+
+    def yes(self, key):
+        return self.text(key) in ("true", "1")
--- a/embertray/core/instance.py
+++ b/embertray/core/instance.py
@@ -3,7 +3,6 @@
 Whoever runs it (the daemon; later an emulator) calls `join`, `left`, `answered`, `sums`, `news` as things happen, then
 `advance(now)` at once or at `next_at()`, and sends what that returns. Events between two advances are one step.
 """
-import heapq
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -11,9 +10,8 @@
 from ..channel.outbox import Outbox
 from ..channel.outlet import UNANSWERED, Awake
 from ..channel.pacer import Pacer
-from ..choice import Controller
 from ..degrade import Reduced
-from ..door import Door
+from ..drive import Drive
 from ..memory import Accounts
 from ..memory.caps import PROBES, defaults
 from ..reports.intake import Intake
@@ -38,22 +36,19 @@
     change: object = None                           # degrade.Change: another level of service
 
 
-class Instance:
+class Instance(Drive):
     """`site` is a site.Site, `me` one of its controllers; `chance` gives numbers from 0 to 1. The first thing to tell it
     is the list that it starts with: `news(now, "cached", ...)`, empty if there is none."""
 
     def __init__(self, site, me, seed, now, chance=lambda: 0.5):
-        self.site, self.door = site, Door()
+        super().__init__(seed, lambda door: site.deployment(me, door), now)
+        self.site = site
         self.kinds = {kind.door: kind for kind in site.kinds}
-        deployment = site.deployment(me, self.door)
-        self.module = Controller(seed, deployment, now)
         self.outbox = Outbox(self.door, site.head, {kind: kind.door for kind in site.kinds})
         self.pacer, self.intake = Pacer(site.channel_rate, now), Intake(site.reports_rate, now, site.report_cycle)
         self.reduced = Reduced(site.kinds, site.report_cycle, site.levels == "rate", now)
         self.outbox.all_in = self.module.all_in if site.levels != "none" else 0.0
-        self.todo, self.wakes, self.count = [], [], 0
-        self.starts, self.state, self.stamps = {}, {}, {}
-        self.steps = self.events = 0
+        self.stamps = {}
         self.open, self.refs, self.probing, self.tidy_at = {}, {}, {}, now + TIDY
         self.accounts = Accounts({**defaults(site), **site.caps}, chance)
         self.awake = Awake(now)
@@ -62,27 +57,15 @@
 
     # ---- the list
 
-    def entry(self, now, clock, e):
-        """A start is mapped to our clock once, when it is first heard of: it must not wander with the delays."""
-        heard, ours = self.starts.get(e.backend, (0, 0))
-        if heard != e.started:
-            ours = max(1, now - max(0, clock - e.started)) if e.started else 0
-            self.starts[e.backend] = e.started, ours
-        if e.state == "gone":
-            self.state.pop(e.backend, None)
-        else:
-            self.state[e.backend] = e.state
-        return i.Entry(self.door.backend(e.backend), self.door.zone(e.zone), e.state, ours, e.nominal)
-
     def news(self, now, how, clock=0, entries=()):
         if how == "whole":
-            self.state, self.held_back = {}, 0
+            self.held_back = 0
         if self.accounts.acting("tables", "list"):      # new ones wait; what is there and what goes is never held
             known = [e for e in entries if e.backend in self.door.backends]
             self.held_back += len(entries) - len(known)
             self.accounts.by["list"].done += len(entries) - len(known)
             entries = known
-        self.todo.append(i.ListNews(how, [self.entry(now, clock, e) for e in entries]))
+        super().news(now, how, clock, entries)
 
     # ---- proxies
 
@@ -146,14 +129,7 @@
         if (change := self.reduced.due(now)) is not None:
             step.change = change
             self.outbox.wait, self.outbox.most_again = self.reduced.wait, self.reduced.most_again
-        while self.wakes and self.wakes[0][0] <= now:
-            self.todo.append(i.WakeDue(heapq.heappop(self.wakes)[2]))
-        self.todo += self.intake.due(now)
-        if self.todo:
-            todo, self.todo = self.todo, []
-            self.steps += 1
-            self.events += len(todo)
-            orders = self.module.step(now, todo)
+        if orders := self.play(now, self.intake.due(now)):
             for px, message, mark in self.outbox.post(now, orders):
                 if mark:
                     self.stamps[message.mark] = now
@@ -167,10 +143,7 @@
 
     def ask(self, now, orders, step):
         for order in orders:
-            if isinstance(order, i.Wake):
-                self.count += 1
-                heapq.heappush(self.wakes, (now + max(1, order.after), self.count, order.label))
-            elif isinstance(order, i.Subscribe):
+            if isinstance(order, i.Subscribe):
                 step.subscribe = order.on
             elif isinstance(order, i.AskList):
                 step.ask = True
@@ -216,19 +189,10 @@
 
     def tidy(self):
         """The module has forgotten who is gone for long: so does the door, and what is kept beside it."""
-        waiting = self.intake.backends()
-        for name, be in list(self.door.backends.items()):
-            if be.actor is None and name not in self.state and be not in waiting:
-                if not any(be in tab.lines for tab in self.outbox.tables.values()):
-                    del self.door.backends[name]
-                    self.starts.pop(name, None)
-                    self.outbox.out.pop(be, None)
-        for name, px in list(self.door.proxies.items()):
-            if px.actor is None and px not in self.outbox.bound:
-                del self.door.proxies[name]
-        # a dict keeps its largest table until it is made anew
-        self.starts, self.state, self.door.backends, self.door.proxies = map(
-            dict, (self.starts, self.state, self.door.backends, self.door.proxies))
+        waiting, tables = self.intake.backends(), self.outbox.tables.values()
+        gone = self.forget(lambda thing: thing in waiting or thing in self.outbox.bound or any(thing in tab.lines for tab in tables))
+        for be in gone:
+            self.outbox.out.pop(be, None)
         for tab in self.outbox.tables.values():
             tab.lines, tab.users = dict(tab.lines), dict(tab.users)
         self.outbox.bound = dict(self.outbox.bound)
@@ -237,5 +201,5 @@
         """When to advance again if nothing happens before, ns."""
         if self.todo:
             return 0
-        times = [self.wakes[0][0] if self.wakes else None, self.intake.next_at(), self.pacer.next_at()]
+        times = [self.next_wake(), self.intake.next_at(), self.pacer.next_at()]
         return min((t for t in times if t is not None), default=None)
--- /dev/null
+++ b/embertray/drive/drive.py
@@ -0,0 +1,80 @@
+"""The module with its door, timers and the mapping of starts. What happens is put to `todo`; `play(now)` is one step.
+
+Whoever builds on it (core.Instance for the daemon, node.Post for the platform) carries the orders on.
+"""
+import heapq
+
+from .. import interface as i
+from ..choice import Controller
+from ..door import Door
+
+
+class Drive:
+    """`deployment(door)` gives what the module is told at its start. The first thing to tell it is the list that it starts
+    with: `news(now, "cached", ...)`, empty if there is none. List entries have backend, zone, state, started, nominal."""
+
+    def __init__(self, seed, deployment, now):
+        self.door = Door()
+        self.module = Controller(seed, deployment(self.door), now)
+        self.todo, self.wakes, self.count = [], [], 0
+        self.starts, self.state = {}, {}
+        self.steps = self.events = 0
+
+    def entry(self, now, clock, e):
+        """A start is mapped to our clock once, when it is first heard of: it must not wander with the delays."""
+        heard, ours = self.starts.get(e.backend, (0, 0))
+        if heard != e.started:
+            ours = max(1, now - max(0, clock - e.started)) if e.started else 0
+            self.starts[e.backend] = e.started, ours
+        if e.state == "gone":
+            self.state.pop(e.backend, None)
+        else:
+            self.state[e.backend] = e.state
+        return i.Entry(self.door.backend(e.backend), self.door.zone(e.zone), e.state, ours, e.nominal)
+
+    def news(self, now, how, clock=0, entries=()):
+        """`clock`: the list's own clock at `now`, ns."""
+        if how == "whole":
+            self.state = {}
+        self.todo.append(i.ListNews(how, [self.entry(now, clock, e) for e in entries]))
+
+    def play(self, now, late=()):
+        """One step if anything happened or is due (`late`: further events, after the timers): its orders less its timers."""
+        while self.wakes and self.wakes[0][0] <= now:
+            self.todo.append(i.WakeDue(heapq.heappop(self.wakes)[2]))
+        self.todo += late
+        if not self.todo:
+            return []
+        todo, self.todo = self.todo, []
+        self.steps += 1
+        self.events += len(todo)
+        rest = []
+        for order in self.module.step(now, todo):
+            if isinstance(order, i.Wake):
+                self.count += 1
+                heapq.heappush(self.wakes, (now + max(1, order.after), self.count, order.label))
+            else:
+                rest.append(order)
+        return rest
+
+    def forget(self, needed=lambda thing: False):
+        """The module has forgotten who is gone for long: so does the door, but for who is `needed`. Backends forgotten."""
+        gone = []
+        for name, be in list(self.door.backends.items()):
+            if be.actor is None and name not in self.state and not needed(be):
+                del self.door.backends[name]
+                self.starts.pop(name, None)
+                gone.append(be)
+        for name, px in list(self.door.proxies.items()):
+            if px.actor is None and not needed(px):
+                del self.door.proxies[name]
+        # a dict keeps its largest table until it is made anew
+        self.starts, self.state, self.door.backends, self.door.proxies = map(
+            dict, (self.starts, self.state, self.door.backends, self.door.proxies))
+        return gone
+
+    def next_wake(self):
+        """When the next timer is due, ns or None; 0 if something waits already."""
+        if self.todo:
+            return 0
+        return self.wakes[0][0] if self.wakes else None
--- a/embertray/net/address.py
+++ b/embertray/net/address.py
@@ -6,6 +6,18 @@
     pass
 
 
+def plain(text):
+    """(host, port) of 'host:port', the host an IP address of any machine. Raises BadAddress."""
+    host, colon, port = text.rpartition(":")
+    try:
+        good = colon and port.isdigit() and int(port) <= 65535 and ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        good = False
+    if not good:
+        raise BadAddress(f"'{text}' is no address:port")
+    return host.strip("[]"), int(port)
+
+
 def loopback(text):
     """(host, port) of 'host:port'. Raises BadAddress for any other form, and for a host that is not loopback."""
     host, colon, port = text.rpartition(":")
--- /dev/null
+++ b/embertray/node/service.py
@@ -0,0 +1,270 @@
+"""One controller's sockets and signals round a platform.Post; a task group, nothing detached, nothing decided."""
+import signal
+
+import anyio
+import structlog
+
+from ..net.conn import Conn
+from ..net.http import BROKEN, CallFailed, Talk
+from ..platform.discovery import Unreadable as BadList
+from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LIST_MOST, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST,
+                               STREAMS)
+from ..platform.post import Post
+from ..platform.relay import CALLS, FORM, STREAM, Unreadable
+from ..platform.start import BadStart
+
+
+class Service:
+    """`start` is a platform Start, `load` reads it anew."""
+
+    def __init__(self, start, clock, net, load, log=None):
+        self.start, self.clock, self.net, self.load = start, clock, net, load
+        self.log = (log or structlog.get_logger()).bind(controller=start.name)
+        self.post = Post(start, clock.now(), clock.wall())
+        self.poked, self.called, self.stopping = anyio.Event(), anyio.Event(), anyio.Event()
+        self.room, self.strangers = anyio.Event(), 0
+        self.streams, self.watching = {}, None          # cancel scopes: of connections with news, of the list's call
+        self.address = None
+
+    # ---- lifecycle
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED, signals=True):
+        """Runs until SIGTERM or `stop`; started(address) once it listens. Raises OSError, BadAddress."""
+        listener = await self.net.listen(self.start.listen)
+        self.address = listener.address
+        try:
+            async with anyio.create_task_group() as group:
+                if signals:
+                    await group.start(self.signals)
+                group.start_soon(self.accept, listener, group)
+                group.start_soon(self.pump)
+                group.start_soon(self.calls)
+                group.start_soon(self.lists)
+                for name in range(STREAMS):
+                    group.start_soon(self.news, name)
+                self.log.info("listening", address=self.address, list=len(self.start.known.members))
+                task_status.started(self.address)
+                await self.stopping.wait()
+                group.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await listener.aclose()
+
+    def stop(self):
+        self.stopping.set()
+
+    async def signals(self, *, task_status):
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as came:
+            task_status.started()
+            async for one in came:
+                if one == signal.SIGHUP:
+                    self.reload()
+                else:
+                    self.log.info("stopping", signal=one.name)
+                    self.stop()
+
+    def reload(self):
+        """A new configuration: other addresses of discovery and relay hold from now on; a bad file changes nothing."""
+        try:
+            new = self.load()
+        except BadStart as wrong:
+            self.log.error("the new configuration can't be used", why=str(wrong))
+            return
+        old, self.start = self.start, new
+        self.log.info("new configuration", discovery=new.discovery, relay=new.store.address)
+        if new.discovery != old.discovery:
+            self.post.follow.elsewhere()
+            if self.watching:
+                self.watching.cancel()
+        if new.store.address != old.store.address:
+            # one connection goes over now; the leader's is closed by the old relay once the other has opened
+            for name in [n for n in self.streams if n is not self.post.standing.leader]:
+                self.streams[name].cancel()
+        self.called.set()
+
+    # ---- the module
+
+    def poke(self):
+        self.poked.set()
+
+    async def pump(self):
+        """Events of one wake-up are one step."""
+        while True:
+            self.poked = anyio.Event()
+            now = self.clock.now()
+            if self.post.advance(now):
+                self.called.set()
+            said, self.post.said = self.post.said, []
+            for text in said:
+                self.log.info("decision", says=text)
+            if (due := self.post.next_at()) is None:
+                await self.poked.wait()
+            else:
+                with anyio.move_on_after(max(0, due - self.clock.now()) / 1e9):
+                    await self.poked.wait()
+            await self.clock.sleep_until(now + GATHER)
+
+    # ---- calls
+
+    async def calls(self):
+        """One call in flight, each on a connection of its own: one that does not come up has carried nothing."""
+        caller = self.post.caller
+        while True:
+            self.called = anyio.Event()
+            now = self.clock.now()
+            if (call := caller.due(now)) is None:
+                if caller.idle:
+                    self.poke()
+                    await self.called.wait()
+                else:
+                    with anyio.move_on_after(max(0, caller.at - now) / 1e9):
+                        await self.called.wait()
+                continue
+            try:
+                status, body = await self.one_call(call)
+                said = caller.answered(self.clock.now(), status, body)
+            except CallFailed as wrong:
+                said = caller.broke(self.clock.now(), wrong.sent, str(wrong))
+            if said:
+                self.log.info("call", why=said, orders=len(call.orders), mark=call.mark)
+
+    async def one_call(self, call):
+        talk = await Talk.dial(self.net, self.start.store.address, CONNECT_WITHIN)
+        try:
+            await talk.ask("POST", CALLS, call.body(), FORM)
+            return await talk.answer(ANSWER_WITHIN, ANSWER_MOST)
+        finally:
+            await talk.aclose()
+
+    # ---- news
+
+    async def news(self, name):
+        """Keeps one connection with the relay's news, again and again."""
+        wait = REDIAL
+        while True:
+            began = self.clock.now()
+            with anyio.CancelScope() as scope:
+                self.streams[name] = scope
+                try:
+                    await self.listen_to(name)
+                except (CallFailed, Unreadable) as wrong:
+                    self.log.info("news broke", stream=name, why=str(wrong))
+            self.relayed(self.post.standing.lost(self.clock.now(), name))
+            wait = REDIAL if self.clock.now() - began > 2 * QUIET_BESIDE else min(REDIAL_MOST, 2 * wait)
+            await anyio.sleep(wait / 1e9)
+
+    async def listen_to(self, name):
+        standing, reader = self.post.standing, self.post.stream()
+        talk = await Talk.dial(self.net, self.start.store.address, CONNECT_WITHIN)
+        try:
+            await talk.ask("GET", STREAM)
+            standing.opened(self.clock.now(), name)
+            status = None
+            while True:
+                data = None
+                with anyio.move_on_after(self.beat() / 1e9):
+                    if status is None and (status := await talk.begin()) != 200:
+                        raise CallFailed(f"status {status}", True)
+                    data = await talk.data()
+                    if data is None:
+                        raise CallFailed("ended", True)
+                now = self.clock.now()
+                if data is not None:
+                    self.relayed(standing.took(now, name, reader.receive(data)))
+                else:
+                    self.relayed(standing.lead(now))
+                    if why := standing.quiet(now, name):
+                        raise CallFailed(why, True)
+        finally:
+            await talk.aclose()
+
+    def beat(self):
+        """ns until a connection with news is looked at again, if it brings nothing."""
+        due = self.post.standing.next_at()
+        return 100 * MS if due is None else max(MS, min(100 * MS, due - self.clock.now()))
+
+    def relayed(self, found):
+        if found:
+            if self.post.relayed(found):
+                self.called.set()
+            self.poke()
+
+    # ---- the list
+
+    async def lists(self):
+        talk, follow = None, self.post.follow
+        while True:
+            failed = None
+            with anyio.CancelScope() as self.watching:
+                try:
+                    path, within = follow.ask()
+                    talk = talk or await Talk.dial(self.net, self.start.discovery, CONNECT_WITHIN)
+                    await talk.ask("GET", path)
+                    status, body = await talk.answer(within, LIST_MOST)
+                    got = follow.heard(self.clock.now(), status, body)
+                    if got:
+                        self.post.news(self.clock.now(), got[0], self.clock.wall(), got[1])
+                        self.poke()
+                except (CallFailed, BadList) as wrong:
+                    failed = wrong
+            if failed or self.watching.cancel_called or not talk.again():
+                if talk:
+                    await talk.aclose()
+                talk = None
+            if failed:
+                if follow.fails < 3:
+                    self.log.info("the list did not answer", why=str(failed))
+                await anyio.sleep(follow.broke() / 1e9)
+
+    # ---- our address
+
+    async def accept(self, listener, group):
+        while True:
+            if self.strangers >= self.post.strangers_most:
+                self.room = anyio.Event()
+                await self.room.wait()
+            if (stream := await listener.accept()) is None:
+                await anyio.sleep(GATHER / 1e9)
+                continue
+            self.strangers += 1
+            group.start_soon(self.client, stream)
+
+    async def client(self, stream):
+        """One connection at our address, from its dial to its end. No error leaves this method."""
+        port, conn, counted = self.post.port(self.clock.now()), Conn(stream), True
+        try:
+            while not port.over:
+                data = None
+                if port.joined is None:
+                    with anyio.move_on_after(max(0, port.join_by - self.clock.now()) / 1e9):
+                        data = await conn.read()
+                else:
+                    data = await conn.read()
+                if data is not None:
+                    found = port.receive(data)
+                    if found:
+                        self.post.reports(found)
+                        self.poke()
+                port.late(self.clock.now())
+                if counted and (port.joined is not None):
+                    counted = self.no_stranger()
+                if port.reply:
+                    reply, port.reply = port.reply, b""
+                    with anyio.move_on_after(GATHER / 1e9 if port.over else 1):
+                        await stream.send(reply)
+            if port.joined is not None:
+                self.log.info("collector gone", zone=port.joined, why=port.over, spoilt=port.spoilt, last=port.why)
+        except BROKEN:
+            pass
+        except Exception as wrong:          # against a peer that finds a fault of ours: it costs its own connection
+            self.log.error("a connection's handling failed", exc_info=wrong)
+        finally:
+            if counted:
+                self.no_stranger()
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    def no_stranger(self):
+        self.strangers -= 1
+        self.room.set()
+        return False
--- /dev/null
+++ b/embertray/platform/post.py
@@ -0,0 +1,70 @@
+"""One controller on the platform without I/O: module and door (Drive) between list, reports, relay's news and calls.
+
+The transports hand in what came and the time, send `caller`'s calls, and call `advance` at once or at `next_at`.
+"""
+from ..briefing import Briefing
+from ..drive import Drive
+from .discovery import Follow
+from .limits import SPARE, STRANGERS_PART, TIDY
+from .port import Port
+from .relay import Caller, Done, News, Standing
+from .words import Words
+
+
+class Post(Drive):
+    """`start` is a start.Start. Raises BadBriefing."""
+
+    def __init__(self, start, now, wall):
+        self.told = Briefing.nested(start.settings)
+        super().__init__(start.chance, self.told.deployment, now)
+        self.words, self.caller, self.standing = Words(self.door, self.told.kinds), Caller(self.module.site.way_max), Standing()
+        self.follow, self.tidy_at, self.unknown, self.said = Follow(start.known.revision), now + TIDY, 0, []
+        self.strangers_most = max(16, min(int(start.limits.sockets * STRANGERS_PART), start.limits.sockets - SPARE))
+        self.news(now, "cached", wall, start.known.members)
+
+    def port(self, now):
+        """A new connection at our address."""
+        return Port(now, self.told.zones, self.told.kinds, self.told.proxies)
+
+    def stream(self):
+        """A new connection with the relay's news."""
+        return News(self.told.zones, self.told.proxies)
+
+    def reports(self, found):
+        for one in found:
+            if (event := self.words.report(one)) is None:
+                self.unknown += 1           # against reports on what no list ever had
+            else:
+                self.todo.append(event)
+
+    def relayed(self, found):
+        """What Standing made of the relay's news. True if a call that waited for evidence has it."""
+        due = False
+        for one in found:
+            if isinstance(one, Done):
+                due = self.caller.saw(one.mark) or due
+            if (event := self.words.news(one)) is not None:
+                self.todo.append(event)
+        return due
+
+    def advance(self, now):
+        """One step, unless a call is under way: what its answer tells comes first. True if there is a call to send."""
+        if now >= self.tidy_at:
+            self.tidy_at = now + TIDY
+            self.tidy()
+        if self.caller.idle and (orders := self.play(now)):
+            texts, mark, sync, said = self.words.orders(orders)
+            self.caller.put(texts, mark, sync)
+            self.said += said
+        return not self.caller.idle
+
+    def tidy(self):
+        """Who is long gone is forgotten, and marks that nobody owes an answer to."""
+        self.forget(lambda thing: thing.door in self.standing.joined)
+        open_marks = {mark for px in self.module.pxs for mark, _ in px.open}
+        open_marks.update(mark for mark, _ in self.module.channel.flight)
+        self.door.marks = {number: mark for number, mark in self.door.marks.items() if mark in open_marks}
+
+    def next_at(self):
+        """When to advance again if nothing happens before, ns; None while a call is under way."""
+        return self.next_wake() if self.caller.idle else None
--- /dev/null
+++ b/embertray/platform/start.py
@@ -0,0 +1,49 @@
+"""The configuration of one controller, as the platform writes it; read at the start and again at a new configuration."""
+import msgspec
+
+from .discovery import Members
+
+
+class BadStart(ValueError):
+    """The configuration can't be used; the text says what of it."""
+
+
+class Limits(msgspec.Struct):
+    cores: float = 1.0
+    memory_mb: float = 0.0
+    sockets: int = 1024
+
+
+class Store(msgspec.Struct):
+    address: str
+
+
+class Start(msgspec.Struct):
+    """`settings` is told to the module by briefing.Briefing; `known`: the list as it was last held."""
+    name: str
+    listen: str
+    discovery: str
+    store: Store
+    settings: dict
+    seed: str = "0"
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: Members = msgspec.field(default_factory=Members)
+
+    @property
+    def chance(self):
+        """The seed as a whole number."""
+        try:
+            return int(self.seed, 16)
+        except ValueError:
+            return int.from_bytes(self.seed.encode()[:16], "big")
+
+
+decoder = msgspec.json.Decoder(Start)
+
+
+def read(data):
+    """The Start in `data`. Raises BadStart."""
+    try:
+        return decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as wrong:
+        raise BadStart(f"configuration: {wrong}") from None
--- /dev/null
+++ b/embertray/platform/words.py
@@ -0,0 +1,55 @@
+"""The module's events and orders in the platform's words, by the door's ids."""
+from .. import interface as i
+from .relay import Attach, Detach
+
+
+def figure(value):
+    """A number without exponent: six places, no trailing zeros."""
+    return f"{value:.6f}".rstrip("0").rstrip(".")
+
+
+class Words:
+    """`door` of a Drive, `kinds` of its Briefing."""
+
+    def __init__(self, door, kinds):
+        self.door, self.kinds = door, kinds
+        self.names = {kind: name for name, kind in kinds.items()}
+
+    def report(self, got):
+        """A Met or Came as an event; None if it names a backend or proxy that was never told."""
+        if hasattr(got, "backend"):
+            be = self.door.backends.get(got.backend)
+            return be and i.Heard(be, self.door.zone(got.zone), got.tries, got.errored, got.latency, got.span, got.load)
+        px = self.door.proxies.get(got.proxy)
+        return px and i.Arrivals(px, self.kinds[got.kind], got.reqs, got.lost, got.span)
+
+    def news(self, got):
+        """An Attach, Detach or Done as an event; None for a mark that is not open any more."""
+        px = self.door.proxy(got.proxy)
+        if isinstance(got, Attach):
+            return i.Joined(px, self.door.zone(got.zone), got.rate, got.fresh)
+        if isinstance(got, Detach):
+            return i.Left(px)
+        mark = self.door.marks.get(got.mark)
+        return mark and i.Answered(px, mark, got.took)
+
+    def orders(self, orders):
+        """(order texts, the mark's number or None, the mark's order as a function of 0 or 1, log lines)."""
+        texts, mark, sync, said = [], None, None, []
+        for order in orders:
+            if isinstance(order, i.SetLine):
+                table, be = self.door.table_id(order.table), order.backend.door
+                texts.append(f"SET,{table},{be},{figure(order.weight)}")
+            elif isinstance(order, i.Bind):
+                texts.append(f"USE,{order.proxy.door},{self.door.table_id(order.table)},*")
+            elif isinstance(order, i.Withdraw):
+                texts.append(f"{'OUT' if order.out else 'IN'},{order.backend.door}")
+            elif isinstance(order, i.SetLevel):
+                kinds = "+".join(self.names[kind] for kind in order.kinds) or "*"
+                texts.append(f"LIMIT,{self.door.table_id(order.table)},{kinds},{figure(order.level)},{order.retry}")
+            elif isinstance(order, i.PutMark):
+                mark = self.door.mark_id(order.mark)
+                sync = f"SYNC,{mark},{{}}".format
+            elif isinstance(order, i.Log):
+                said.append(order.text)
+        return texts, mark, sync, said
--- /dev/null
+++ b/embertray/standin/platform.py
@@ -0,0 +1,220 @@
+"""The platform's relay and discovery on sockets, written from the protocol's page, and a bare client of our address."""
+from urllib.parse import parse_qs
+
+import anyio
+import h11
+import msgspec
+
+BROKEN = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
+class HttpSide:
+    """The serving side of HTTP on one stream."""
+
+    def __init__(self, stream):
+        self.stream, self.state = stream, h11.Connection(h11.SERVER)
+
+    async def request(self):
+        """(method, target, body); None when the peer is gone."""
+        request, body = None, b""
+        while True:
+            got = self.state.next_event()
+            if got is h11.NEED_DATA:
+                try:
+                    self.state.receive_data(await self.stream.receive())
+                except anyio.EndOfStream:
+                    self.state.receive_data(b"")
+            elif isinstance(got, h11.Request):
+                request = got
+            elif isinstance(got, h11.Data):
+                body += bytes(got.data)
+            elif isinstance(got, h11.EndOfMessage):
+                return request.method.decode(), request.target.decode(), body
+            else:
+                return None
+
+    async def answer(self, body, kind="text/xml", status=200):
+        await self.stream.send(
+            self.state.send(h11.Response(status_code=status, headers=[("Content-Type", kind), ("Content-Length", str(len(body)))]))
+            + self.state.send(h11.Data(data=body)) + self.state.send(h11.EndOfMessage()))
+        if self.state.our_state is h11.DONE and self.state.their_state is h11.DONE:
+            self.state.start_next_cycle()
+
+
+class Party:
+    """Something that listens; `open` are its connections' streams."""
+
+    def __init__(self, net):
+        self.net, self.address, self.open, self.came = net, None, [], anyio.Event()
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        listener = await self.net.listen("127.0.0.1:0")
+        self.address = listener.address
+        try:
+            async with anyio.create_task_group() as group:
+                task_status.started(self.address)
+                await listener.serve(self.accept, group)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await listener.aclose()
+
+    async def accept(self, stream):
+        self.open.append(stream)
+        try:
+            await self.serve(HttpSide(stream))
+        except (*BROKEN, h11.ProtocolError):
+            pass
+        finally:
+            self.open.remove(stream)
+            self.happened()
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    def happened(self):
+        self.came.set()
+        self.came = anyio.Event()
+
+    async def until(self, what):
+        """Waits until `what()` holds, looking again whenever something happened here."""
+        while not what():
+            await self.came.wait()
+
+
+class StandinDiscovery(Party):
+    """`change` makes a new version; watches that wait are told. While `down` nothing is answered."""
+
+    def __init__(self, net, members=()):
+        super().__init__(net)
+        self.members, self.log, self.revision, self.down, self.asked = dict(members), [], 1, False, []
+
+    def change(self, ident, **facts):
+        self.members[ident] = {"id": ident, "phase": "ready", **self.members.get(ident, {}), **facts}
+        self.revision += 1
+        self.log.append((self.revision, ident))
+        self.happened()
+
+    async def serve(self, side):
+        while (call := await side.request()) is not None:
+            path, _, query = call[1].partition("?")
+            self.asked.append(call[1])
+            got = parse_qs(query)
+            since = int(got["from"][0]) if "from" in got else None
+            if since is not None:
+                with anyio.move_on_after(int(got["hold_ms"][0]) / 1e3):
+                    await self.until(lambda: self.revision != since)
+            if self.down:
+                await anyio.sleep_forever()
+            if path != "/catalog/members":
+                await side.answer(b"", status=404)
+                continue
+            names = self.members if since is None else {name for version, name in self.log if version > since}
+            rows = [self.members[name] for name in names]
+            if since is None:
+                rows = [row for row in rows if row["phase"] != "gone"]
+            await side.answer(msgspec.json.encode({"revision": self.revision, "complete": since is None, "members": rows}),
+                              "application/json")
+
+
+class StandinRelay(Party):
+    """Takes calls and tells news. `mood`: what it does with the next calls, one word each: ok | lose (no answer, not carried
+    out) | mute (carried out, no answer) | spoil (carried out, unreadable answer) | throttled."""
+
+    def __init__(self, net, answers=True):
+        super().__init__(net)
+        self.joined, self.tables, self.bound, self.out, self.mood, self.calls = {}, {}, {}, set(), [], []
+        self.answers, self.streams, self.levels = answers, [], {}
+
+    # ---- proxies
+
+    def attach(self, node, zone, rate=1.0, cold=1):
+        self.joined[node] = f"node={node}&locality={zone}&w={rate}&cold={cold}"
+        self.tell("attach", self.joined[node])
+
+    def detach(self, node):
+        self.joined.pop(node, None)
+        self.bound.pop(node, None)
+        self.tell("detach", f"node={node}")
+
+    def tell(self, kind, data):
+        for queue in self.streams:
+            queue.append(f"event: {kind}\ndata: {data}\n\n".encode())
+        self.happened()
+
+    def lines(self, node):
+        """What a proxy picks from: backend -> weight."""
+        return {be: w for be, w in self.tables.get(self.bound.get(node), {}).items() if be not in self.out}
+
+    # ---- connections
+
+    async def serve(self, side):
+        while (call := await side.request()) is not None:
+            method, path, body = call
+            if (method, path) == ("GET", "/api/stream"):
+                await self.stream(side)
+                return
+            got = parse_qs(body.decode())
+            if (method, path, got.get("Action")) != ("POST", "/api/", ["CommitChanges"]):
+                await side.answer(b"<Response><Errors><Error><Code>invalid</Code></Error></Errors></Response>", status=400)
+                continue
+            orders = got["orders"][0].split(";")
+            mood = self.mood.pop(0) if self.mood else "ok"
+            self.calls.append((mood, orders))
+            count = self.carry_out(orders) if mood not in ("lose", "throttled") else 0
+            self.happened()
+            if mood == "throttled":
+                await side.answer(b"<Response><Errors><Error><Code>throttled</Code></Error></Errors></Response>", status=503)
+            elif mood in ("lose", "mute"):
+                return
+            else:
+                text = f"<Response><items><item><ok_count>{count}</ok_count></item></items></Response>"
+                await side.answer(text.encode() if mood == "ok" else b"<Response><items><it\xff")
+
+    async def stream(self, side):
+        queue = [f"event: attach\ndata: {text}\n\n".encode() for text in self.joined.values()]
+        self.streams.append(queue)
+        try:
+            await side.stream.send(side.state.send(h11.Response(status_code=200, headers=[
+                ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")])))
+            while True:
+                data, queue[:] = b"".join(queue) or b":\n", []
+                await side.stream.send(side.state.send(h11.Data(data=data)))
+                with anyio.move_on_after(1):
+                    await self.until(lambda: queue)
+        finally:
+            self.streams = [one for one in self.streams if one is not queue]
+
+    # ---- orders
+
+    def carry_out(self, orders):
+        reached = set()
+        for count, order in enumerate(orders):
+            try:
+                self.carry(order.split(","), reached)
+            except (KeyError, ValueError, IndexError):
+                return count
+        return len(orders)
+
+    def carry(self, order, reached):
+        verb, args = order[0], order[1:]
+        if verb == "SET":
+            table = self.tables.setdefault(args[0], {})
+            table[args[1]] = float(args[2])
+            if not table[args[1]]:
+                del table[args[1]]
+            reached.update(node for node, bound in self.bound.items() if bound == args[0])
+        elif verb == "USE":
+            if int(args[0]) not in self.joined:
+                raise KeyError(args[0])
+            self.bound[int(args[0])] = args[1]
+            reached.add(int(args[0]))
+        elif verb in ("OUT", "IN"):
+            (self.out.add if verb == "OUT" else self.out.discard)(args[0])
+            reached.update(self.joined)
+        elif verb == "LIMIT":
+            self.levels[args[0], args[1]] = float(args[2]), int(args[3])
+            reached.update(node for node, bound in self.bound.items() if bound == args[0])
+        elif verb == "SYNC":
+            for node in sorted(self.joined if args[1] == "1" else reached & set(self.joined)) if self.answers else ():
+                self.tell("done", f"node={node}&nonce={args[0]}&latency=12.5")
+        else:
+            raise ValueError(verb)
