Module: the first few reports after a start are no measure of an overload

Checked by a probe of each look (mid, tries, done, coming): the cut came of one try at one backend (tries=1, heard 1 of 30, mid 1379 ms); sockets carried 120 reqs/s without queues. Excluded: lost reports (every line that came was counted), the list (30 ready), a true queue (the next look, with 29 heard, has mid 172 ms). Faulty: choice.py Planner.on_solve, where 'done' took any sample as the mean of all; now most ready backends must be heard.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -202,7 +202,9 @@
                         tries >= BACK_TRIES and bad <= tries / 4 or not tries and self.now - be.since > MUTE):
                     be.tell("set", be.cap, min(1.0, be.health * BACK))
         health = self.judge(rows)
-        done = sum(n for r in rows for n, _ in r.newest)
+        # guards against the first reports after a start: they tell of few backends, and of those by chance
+        most = 2 * sum(r.short[0] > 0 for r in rows) >= len(rows)
+        done = sum(n for r in rows for n, _ in r.newest) if most else 0
         self.means += [sum(took for r in rows for _, took in r.newest) / done] if done else []
         mid = self.means[-1] - min(LEAST * self.hub.target, *self.means) if done else 0
         # mid: the wait in queues. In a jam proxies shun full backends and take the empty one: cold ones wait
