Module: shedding ahead of lost capacity knows what came without queues before

Probed each second, what the module believes against what sockets carried: coming 75 reqs/s where 60 came (150 proxies with a req every few seconds: a proxy's last report stands until its next), done 48 of 54; so 1.3 x done x units left lies under what seems to come though the rest has room. Excluded: an overload cut (no such log line), queues (mid 60 to 130 ms of 355), lost reports. Faulty: choice.py Levels.on_state, 'sure' sets done reqs against coming ones, two measures with opposite errors. Now what came for five looks on end with no queue and nobody denied counts, too, by the most units of that while. Test: tests/scenes/what_came_calmly_was_done.scene, fails on the former text.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -36,6 +36,7 @@
 PACE = 3                 # x the time a table's weights take the channel: until its next ones go
 HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
 LOOK, DONE_KEEP = 1 * S, 40     # ns between looks at the load, and looks whose most done is what can be done
+CALM = 5                 # looks on end without queue: past a report cycle and its way, so that queues would be heard of
 SURE, SURE_LOOKS, SHRUNK = 1.3, 10, 0.85   # x that most a unit is let in, if known and capacity is so shrunk
 ROOMY = 0.7              # told busy share that those left would come to: below, they can do it all
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
@@ -271,6 +272,7 @@
         super().__init__(hub)
         self.rates, self.look_at, self.cut_at, self.done = {}, 0, 0, deque(maxlen=DONE_KEEP)
         self.calm_at = hub.now + hub.timeout + hub.site.report_cycle  # after a restart a jam is not known yet
+        self.came = deque(maxlen=CALM)
         self.goal, self.full, self.units = None, 0.0, 1.0    # reqs a second a unit; units listed at the cut
 
     def on_demand(self, px, rates):
@@ -283,8 +285,13 @@
         if hub.now >= self.look_at and rates and hub.site.throttle != "none":
             self.look_at = hub.now + LOOK
             coming = sum(sum(r.values()) for r in rates.values())
-            self.done.append((done / able, able))
-            most, ably = (max(column) for column in zip(*self.done))
+            # what came for a while with no queue and nobody denied was done, in the measure it is compared in: many
+            # proxies with few reqs each are counted too high. Guards against denying reqs where there is room
+            calm = tries and mid < LOW * hub.target and all(row.level == hub.all_in for row in hub.table.values())
+            self.came.append((coming if calm else 0.0, able))
+            came, units = min(c for c, _ in self.came), max(a for _, a in self.came)
+            self.done.append((done / able, able, came / units if len(self.came) == CALM else 0.0))
+            most, ably, calmly = (max(column) for column in zip(*self.done))
             if self.goal is not None and hub.now < self.cut_at:
                 self.full = max(self.full, done / max(able, self.units))   # what a full fleet does, it can do
             if mid > HIGH * hub.target and not (falls and self.goal) and hub.now >= self.cut_at:
@@ -301,7 +308,7 @@
                     hub.orders.append(i.Log("overload over: all let in"))
             # what most was done is what could be done only where the rest could not do all of it
             shrunk = len(self.done) > SURE_LOOKS and able < SHRUNK * ably and busy * ably > ROOMY * able
-            sure = SURE * most if shrunk else ALL_RATE
+            sure = SURE * max(most, calmly) if shrunk else ALL_RATE
             over = coming - (sure if self.goal is None else self.goal) * able
             self.shed(rates, max(over, (1 - WARY) * coming if cold and hub.now < self.calm_at else 0.0))
         retry = 0 if hub.now < self.calm_at else 1      # 1: only after proof that the first never ran
