Platform: reports that wait for a relay that is gone are bounded; outages logged less often

Seen in a probe (relay unreachable, 40 descriptors, 60 good joins and 60 silent clients): the process lives on and answers signs of life, but it logs each of 8 failed dials a second, and while no call gets through events wait without bound (75 reports a second: some 25 KB/s, 64 MB within the hour). Faulty: platform/post.py reports(), node/service.py calls() and news(). Now at most 8,000 events wait, reports are dropped first; of an outage the 1st, 2nd, 4th, 8th failure is told. Test: test_reports_do_not_pile_up_while_no_call_gets_through.

--- a/embertray/node/service.py
+++ b/embertray/node/service.py
@@ -125,8 +125,8 @@
                 said = caller.answered(self.clock.now(), status, body)
             except CallFailed as wrong:
                 said = caller.broke(self.clock.now(), wrong.sent, str(wrong))
-            if said:
-                self.log.info("call", why=said, orders=len(call.orders), mark=call.mark)
+            if said and not caller.fails & (caller.fails - 1):      # of an outage the 1st, 2nd, 4th, 8th ... is told
+                self.log.info("call", why=said, orders=len(call.orders), mark=call.mark, failed=caller.fails)
 
     async def one_call(self, call):
         talk = await Talk.dial(self.net, self.start.store.address, CONNECT_WITHIN)
@@ -140,7 +140,7 @@
 
     async def news(self, name):
         """Keeps one connection with the relay's news, again and again."""
-        wait = REDIAL
+        wait, fails = REDIAL, 0
         while True:
             began = self.clock.now()
             with anyio.CancelScope() as scope:
@@ -148,9 +148,11 @@
                 try:
                     await self.listen_to(name)
                 except (CallFailed, Unreadable) as wrong:
-                    self.log.info("news broke", stream=name, why=str(wrong))
+                    if not fails & (fails - 1):
+                        self.log.info("news broke", stream=name, why=str(wrong))
             self.relayed(self.post.standing.lost(self.clock.now(), name))
-            wait = REDIAL if self.clock.now() - began > 2 * QUIET_BESIDE else min(REDIAL_MOST, 2 * wait)
+            lasted = self.clock.now() - began > 2 * QUIET_BESIDE
+            wait, fails = (REDIAL, 0) if lasted else (min(REDIAL_MOST, 2 * wait), fails + 1)
             await anyio.sleep(wait / 1e9)
 
     async def listen_to(self, name):
--- a/embertray/platform/limits.py
+++ b/embertray/platform/limits.py
@@ -39,4 +39,5 @@
 
 # -- the process
 GATHER = 4 * MS          # ns between steps: what comes together is one step
+WAITING_MOST = 8000      # events that wait while no call gets through: a minute and more of reports; older ones tell nothing
 TIDY = 10 * S            # ns between looks for ids that nothing needs any more: as often as the module's sweep
--- a/embertray/platform/post.py
+++ b/embertray/platform/post.py
@@ -2,10 +2,11 @@
 
 The transports hand in what came and the time, send `caller`'s calls, and call `advance` at once or at `next_at`.
 """
+from .. import interface as i
 from ..briefing import Briefing
 from ..drive import Drive
 from .discovery import Follow
-from .limits import SPARE, STRANGERS_PART, TIDY
+from .limits import SPARE, STRANGERS_PART, TIDY, WAITING_MOST
 from .port import Port
 from .relay import Caller, Done, News, Standing
 from .words import Words
@@ -18,7 +19,8 @@
         self.told = Briefing.nested(start.settings)
         super().__init__(start.chance, self.told.deployment, now)
         self.words, self.caller, self.standing = Words(self.door, self.told.kinds), Caller(self.module.site.way_max), Standing()
-        self.follow, self.tidy_at, self.unknown, self.said = Follow(start.known.revision), now + TIDY, 0, []
+        self.follow, self.tidy_at, self.said = Follow(start.known.revision), now + TIDY, []
+        self.unknown = self.dropped = 0         # reports on nobody that a list ever had; reports that waited too long
         self.strangers_most = max(16, min(int(start.limits.sockets * STRANGERS_PART), start.limits.sockets - SPARE))
         self.news(now, "cached", wall, start.known.members)
 
@@ -36,6 +38,10 @@
                 self.unknown += 1           # against reports on what no list ever had
             else:
                 self.todo.append(event)
+        if len(self.todo) > WAITING_MOST:   # against a relay that is gone for hours: reports alone would fill the memory
+            kept = [event for event in self.todo if not isinstance(event, (i.Heard, i.Arrivals))]
+            self.dropped += len(self.todo) - len(kept)
+            self.todo = kept
 
     def relayed(self, found):
         """What Standing made of the relay's news. True if a call that waited for evidence has it."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -21,6 +21,7 @@
 from embertray.platform import limits
 from embertray.platform.discovery import Follow, Unreadable as BadList
 from embertray.platform.port import ALIVE, TURNED_AWAY, Came, Met, Port
+from embertray.platform.post import Post
 from embertray.platform.relay import Attach, Caller, Detach, Done, News, Standing, Unreadable, verdict
 from embertray.platform.start import BadStart, read
 from embertray.standin.platform import StandinDiscovery, StandinRelay
@@ -291,6 +292,17 @@
                 plain(address)
         self.assertEqual(plain("10.0.0.4:8000"), ("10.0.0.4", 8000))
 
+    def test_reports_do_not_pile_up_while_no_call_gets_through(self):
+        post = Post(read(configured()), 0, 0)
+        self.assertTrue(post.advance(0))            # the first tables wait for a relay that is not there
+        before = len(post.todo)
+        post.relayed([Attach(1, "north", 1.0, True)])
+        for _ in range(3 * limits.WAITING_MOST):
+            post.reports(HEARD[:1])
+            self.assertLessEqual(len(post.todo), limits.WAITING_MOST + 1)
+        self.assertEqual(post.dropped + len(post.todo) - before, 3 * limits.WAITING_MOST + 1)
+        self.assertIn("Joined", [type(event).__name__ for event in post.todo])
+
     def test_run_imports_nothing_that_it_leaves_off(self):
         code = ("import sys; import embertray.node.service, embertray.cli.logs; print([m for m in sys.modules if m.split('.')[0] in "
                 "('numpy', 'lxml', 'matplotlib', 'lark', 'zstandard', 'click', 'xxhash') or m.startswith(('embertray.daemon', "
