--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -36,7 +36,7 @@
 PACE = 3                 # x the time a table's weights take the channel: until its next ones go
 HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
 LOOK, DONE_KEEP = 1 * S, 40     # ns between looks at the load, and looks whose most done is what can be done
-CALM = 5                 # looks on end without queue: past a report cycle and its way, so that queues would be heard of
+CALM = 5                 # looks on end without queue: past a report cycle and its way, as queues are heard of
 SURE, SURE_LOOKS, SHRUNK = 1.3, 10, 0.85   # x that most a unit is let in, if known and capacity is so shrunk
 ROOMY = 0.7              # told busy share that those left would come to: below, they can do it all
 DEEP, DRAIN, FULL = 0.45, 0.75, 0.95   # x the most done: while queues drain, the deeper the slower; and then
@@ -285,9 +285,10 @@
         if hub.now >= self.look_at and rates and hub.site.throttle != "none":
             self.look_at = hub.now + LOOK
             coming = sum(sum(r.values()) for r in rates.values())
-            # what came for a while with no queue and nobody denied was done, in the measure it is compared in: many
-            # proxies with few reqs each are counted too high. Guards against denying reqs where there is room
-            calm = tries and mid < LOW * hub.target and all(row.level == hub.all_in for row in hub.table.values())
+            # what came for a while with no queue and nobody denied was done, in the measure it is seen in:
+            # many proxies with few reqs are counted too high. Guards against denying reqs where there is room
+            all_in = all(row.level == hub.all_in for row in hub.table.values())
+            calm = tries and mid < LOW * hub.target and all_in
             self.came.append((coming if calm else 0.0, able))
             came, units = min(c for c, _ in self.came), max(a for _, a in self.came)
             self.done.append((done / able, able, came / units if len(self.came) == CALM else 0.0))
