--- a/embertray/node/service.py
+++ b/embertray/node/service.py
@@ -7,8 +7,8 @@
 from ..net.conn import Conn
 from ..net.http import BROKEN, CallFailed, Talk
 from ..platform.discovery import Unreadable as BadList
-from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LIST_MOST, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST,
-                               STREAMS)
+from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LAST_WITHIN, LIST_MOST, LOOK, MS, QUIET_BESIDE, REDIAL,
+                               REDIAL_MOST, REPLY_WITHIN, STREAMS)
 from ..platform.post import Post
 from ..platform.relay import CALLS, FORM, STREAM, Unreadable
 from ..platform.start import BadStart
@@ -183,7 +183,7 @@
     def beat(self):
         """ns until a connection with news is looked at again, if it brings nothing."""
         due = self.post.standing.next_at()
-        return 100 * MS if due is None else max(MS, min(100 * MS, due - self.clock.now()))
+        return LOOK if due is None else max(MS, min(LOOK, due - self.clock.now()))
 
     def relayed(self, found):
         if found:
@@ -256,7 +256,7 @@
                     counted = self.no_stranger()
                 if port.reply:
                     reply, port.reply = port.reply, b""
-                    with anyio.move_on_after(GATHER / 1e9 if port.over else 1):
+                    with anyio.move_on_after((LAST_WITHIN if port.over else REPLY_WITHIN) / 1e9):
                         await stream.send(reply)
             if port.joined is not None:
                 self.log.info("collector gone", zone=port.joined, why=port.over, spoilt=port.spoilt, last=port.why)
--- a/embertray/platform/limits.py
+++ b/embertray/platform/limits.py
@@ -3,6 +3,7 @@
 
 # -- the controller's address
 JOIN_WITHIN = 1000 * MS  # ns; the protocol lets a connection that has not joined by then be closed
+REPLY_WITHIN, LAST_WITHIN = 1000 * MS, 4 * MS    # ns for a reply to be taken; and for the last one, before the close
 STRANGER_BYTES = 16 << 10    # bytes a connection may send unfinished before it joins: its first line is under 200
 LINE_MOST = 1 << 20      # bytes of a line, by the protocol
 STRANGERS_PART = 0.5     # of the descriptors told: connections that have not joined, at once; the rest is for who has
@@ -28,6 +29,7 @@
 QUIET_BESIDE = 1300 * MS # ns without a byte while another connection brings some: one sign of life is missing
 EVENT_MOST = 64 << 10    # bytes of one event; a good one has under 200
 SAME_WITHIN = 300 * MS   # ns by which two connections may differ on when a proxy joined
+LOOK = 100 * MS          # ns between looks at a connection that brings nothing: well under the least time above
 REDIAL = 100 * MS        # ns before a connection is dialled again; doubles up to
 REDIAL_MOST = 500 * MS   # ns; the relay's own connections are few, and without news nothing can be steered
 
--- a/embertray/platform/relay.py
+++ b/embertray/platform/relay.py
@@ -257,7 +257,6 @@
             found.append(event)
         else:
             self.at.pop(event.proxy, None)
-            found = found or []
         return found
 
     def lost(self, now, conn):
