Module: tables hold a part of the list where the channel can't bring whole ones in time

Withdrawals for who is not bound (1 to 3 backends a call, a head for each of 264 or 421 proxies) took the room of binds.

Excluded: CPU alone (300 to 450 ms a step in the crowd delay a removal by under half a second of 9.8 s late; the channel was full throughout); one call in flight (no doubt in these logs); the list (told within 0.6 s).

Confirmed suspects: removals that never fit; joins after a herd; CPU of a step (fits walked all booked lines and marks for each joiner, each join made a whole solve). Faulty: Channel.on_want (one table a zone), removals (OUT for all loose), fits, waiting, step.

Now a zone has several tables where settings tell that whole ones can't reach all proxies in 0.7 of the grace; binds of who waits longer than any removal go first; the ledger keeps sums; an urgent step solves nothing; a proxy's demand is worked out each second. Cuts do not take lines of moved backends.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -6,6 +6,7 @@
 """
 from collections import deque, namedtuple
 from statistics import median
+from zlib import crc32
 
 from . import interface as i
 
@@ -33,6 +34,9 @@
 SLOWEST = 20             # x; slow spells overlap: the ledger counts on no better pace than told by so much
 URGENT, BINDS, HASTY, ORDINARY = (0.8, 1), (0.6, 1), (0.35, 4), (0.25, 7)    # of lines, messages kept
 WAVES = 2                # x less room for removals and binds in a slow channel: fewer heads, more lines
+PARTED, LINES_LEAST, USERS = 0.7, 8, 5   # of the grace, to bind all in; lines, proxies a table has at least
+COVER = 4                # x: tables in use at all controllers for each line, at least, if they are so few
+LACKS, MOVES = 0.25, 4   # share that a part lacks until lines move to it; moves a beat, as they cost lines
 PACE = 3                 # x the time a table's weights take the channel: until its next ones go
 HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
 LOOK, DONE_KEEP = 1 * S, 40     # ns between looks at the load, and looks whose most done is what can be done
@@ -73,8 +77,7 @@
         super().__init__(hub)
         self.handle, self.zone, self.state, self.started = handle, None, None, 0
         self.cap, self.health, self.deaf_until, self.since, self.new = 1.0, 1.0, 0, hub.now, hub.now
-        self.gone_at = None
-        self.samples = deque(maxlen=KEEP)
+        self.gone_at, self.draw, self.samples = None, hub.chance(), deque(maxlen=KEEP)
 
     def on_listed(self, entry):
         anew = entry.state == "ready" and entry.started > self.started
@@ -147,11 +150,12 @@
     def __init__(self, hub, handle):
         super().__init__(hub)
         self.handle, self.zone, self.joined, self.table, self.gone_at = handle, None, False, None, hub.now
+        self.since, self.seen, self.rates = hub.now, None, {}
         self.open, self.sent, self.samples = deque(), deque(), deque(maxlen=KEEP)
 
     def on_joined(self, ev):
         self.zone, self.joined, self.table, self.rate, self.fresh = ev.zone, True, None, ev.rate, ev.fresh
-        self.gone_at = None
+        self.gone_at, self.since = None, self.now
         self.open.clear()
         self.sent.clear()
         self.hub.channel.tell("join", self)
@@ -169,8 +173,11 @@
 
     def on_beat(self):
         if self.joined:
-            self.hub.planner.tell("demand", self, sum(self.over(kind, WINDOW) for kind in self.site.kinds))
-            self.hub.levels.tell("demand", self, {kind: self.over(kind, SHORT) for kind in self.site.kinds})
+            if self.seen is None or self.now >= self.seen + LOOK:      # many proxies: not at each beat
+                self.seen, self.rates = self.now, {kind: self.over(kind, SHORT) for kind in self.site.kinds}
+                self.rate_long = sum(self.over(kind, WINDOW) for kind in self.site.kinds)
+            self.hub.planner.tell("demand", self, self.rate_long)
+            self.hub.levels.tell("demand", self, self.rates)
 
     def over(self, kind, window):
         known = [(at, ev) for at, ev in self.samples if ev.kind is kind]
@@ -221,8 +228,7 @@
         """The companion's estimate, moved past MOVE only, by STEP at most. A told load vetoes a move further
         off: latency alone starves slow machines that have time. Hurts where loads are told wrong."""
         mid, ease = median([r.long[2] for r in heard] or [0]), EASE * self.hub.target
-        est = {r: r.long[3] * min(
-            RATIO, max(1 / RATIO, (mid + ease) / (r.long[2] + ease))) for r in heard}
+        est = {r: r.long[3] * min(RATIO, max(1 / RATIO, (mid + ease) / (r.long[2] + ease))) for r in heard}
         mean = sum(est.values()) / (len(est) or 1) or 1.0
         usual = median([r.load for r in heard if r.load is not None] or [0])
         for r, value in est.items():
@@ -367,20 +373,99 @@
         self.handle, self.want, self.told, self.levels, self.fails = i.Table(), {}, {}, {}, 0
 
 
+class Parts:
+    """A zone's tables. One holds all listed, as designed, where the channel can bring that to all proxies
+    within the grace. Elsewhere each holds a part of it, of all zones, by what comes to the table's users.
+    `usual`: tables in use at most; if all controllers' (each begins elsewhere) are few, parts are larger."""
+
+    def __init__(self, hub):
+        each = hub.site.proxies // max(1, hub.site.controllers * USERS * len(hub.site.zones))
+        self.draw, self.tabs, self.of, self.open, self.usual = hub.chance(), [], {}, 1, max(1, each)
+        self.many = self.usual * hub.site.controllers // COVER
+
+    def deal(self, want, size, rates):
+        """Gives each table its part of `want`. `size`: lines of a part, or 0 for no limit."""
+        need = max(1, -(-len(want) // size)) if size else 1
+        need = need if need <= self.many else min(need, self.usual)
+        if need > 1.5 * len(self.tabs):
+            self.tabs += [Tab() for _ in range(need - len(self.tabs))]
+            self.open = min(need, self.usual)
+        if len(self.tabs) == 1:
+            self.tabs[0].want = want
+            return self.tabs
+        self.of = {be: tab for be, tab in self.of.items() if be.state == "ready"}
+        rates = rates if self.open == len(self.tabs) else {}    # else most have no users, all are alike
+        some = (sum(rates.get(tab, 0.0) for tab in self.tabs) or 1.0) / len(self.tabs) / 4
+        total = sum(rates.get(tab, 0.0) + some for tab in self.tabs)
+        shares = {tab: (rates.get(tab, 0.0) + some) / total for tab in self.tabs}
+        for zone in dict.fromkeys(be.zone for be in want):
+            self.level({be: w for be, w in want.items() if be.zone is zone}, shares)
+        for tab in self.tabs:
+            tab.want = {be: 0 for be in tab.told if self.of.get(be, tab) is not tab}
+        for be, w in want.items():
+            self.of[be].want[be] = w
+        return self.tabs
+
+    def level(self, group, shares):
+        """Backends of one zone: new ones go where most is lacking, and from where most is over if much is."""
+        whole = sum(group.values())
+        lack = {tab: share * whole for tab, share in shares.items()}
+        for be in [be for be in group if be in self.of]:
+            lack[self.of[be]] -= group[be]
+        for be in sorted((be for be in group if be not in self.of), key=lambda be: (-group[be], be.draw)):
+            self.of[be] = tab = max(lack, key=lack.get)
+            lack[tab] -= group[be]
+        for _ in range(MOVES):
+            poor, rich = max(lack, key=lack.get), min(lack, key=lack.get)
+            gap = lack[poor] - lack[rich]
+            fit = [be for be, w in group.items() if self.of[be] is rich and w < gap]
+            if lack[poor] <= LACKS * shares[poor] * whole or not fit:
+                break
+            be = min(fit, key=lambda be: abs(group[be] - gap / 2))
+            self.of[be] = poor
+            lack[poor] -= group[be]
+            lack[rich] += group[be]
+
+    def place(self, px, rates, full):
+        """The table for a joiner: where least comes for what its lines can do. None: none has lines yet."""
+        first = self.draw % max(1, len(self.tabs))      # each controller begins elsewhere
+        used = (self.tabs[first:] + self.tabs[:first])[:self.open]
+        can = {tab: sum(tab.want.values()) for tab in used if tab.told or tab.want and not full}
+        return min(can, key=lambda tab: (rates.get(tab, 0.0) + px.rate) / (can[tab] or 1e-9), default=None)
+
+
 class Channel(Actor):
     """The queue of changed tables, marks, and the ledger of lines and messages that every order passes."""
 
     def __init__(self, hub):
         super().__init__(hub)
-        self.tabs, self.queue, self.sweep_at, self.levels, self.lines, self.sets = {}, {}, 0, {}, {}, []
-        self.joins, self.out, self.withdrawn, self.urgent = {}, {}, {}, False
-        self.proof_at, self.flight, self.took = hub.now, deque(), deque(maxlen=8)
+        self.zones, self.queue, self.sweep_at, self.levels, self.lines, self.sets = {}, {}, 0, {}, {}, []
+        self.joins, self.out, self.withdrawn, self.urgent, self.booked = {}, {}, {}, False, 0
+        self.proof_at, self.flight, self.took = hub.now, {}, deque(maxlen=8)
+
+    tabs = property(lambda self: [tab for parts in self.zones.values() for tab in parts.tabs])
+    parted = property(lambda self: any(len(parts.tabs) > 1 for parts in self.zones.values()))
 
     def on_want(self, zone, want):
-        tab = self.tabs.setdefault(zone, Tab())
-        tab.want = want
-        if self.changes(tab):
-            self.queue.setdefault(tab, self.now)
+        if zone not in self.zones:
+            self.zones[zone] = Parts(self.hub)
+        for tab in self.zones[zone].deal(want, self.part(), self.rates()):
+            if self.changes(tab):
+                self.queue.setdefault(tab, self.now)
+
+    def part(self):
+        """Lines of a table that the channel brings to all proxies within the grace: all may come to one
+        controller at once, and who is not bound by then may still send to what has left. 0: no limit."""
+        site, times = self.site, [t for t in (self.site.drain_grace, self.site.bare_limit) if t]
+        each = PARTED * site.channel_rate * min(times, default=0) / S / (site.proxies or 1)
+        return max(LINES_LEAST, int(each - site.head - 2 - len(site.kinds))) if each else 0
+
+    def rates(self):
+        """Reqs a second that usually come to the users of each table."""
+        found = dict.fromkeys(self.tabs, 0.0)
+        for px in [px for px in self.hub.pxs if px.table is not None]:
+            found[px.table] += px.rate
+        return found
 
     def on_join(self, px):
         self.joins[px] = self.urgent = True
@@ -393,31 +478,36 @@
 
     def on_through(self, px, mark, took):
         self.took.append(took)
-        while any(m is mark for m, _ in self.flight) and self.flight[0][0] is not mark:
-            self.flight.popleft()
-        if self.flight and self.flight[0][0] is mark and self.flight[0][1].pop(px, 0):
-            self.proof_at = self.now
+        if mark in self.flight:
+            while (first := next(iter(self.flight))) is not mark:
+                del self.flight[first]
+            if n := self.flight[mark][0].pop(px, 0):
+                self.flight[mark][1] -= n + self.site.head + 1
+                self.proof_at = self.now
 
     def waiting(self):
         """Lines that may still wait: all since the last mark known to be through, less the slowest pace."""
         gone = (self.now - self.proof_at) * self.site.channel_rate / SLOWEST / S
-        return max(0.0, sum(n + self.site.head + 1 for _, sent in self.flight for n in sent.values()) - gone)
+        return max(0.0, sum(left for _, left in self.flight.values()) - gone)
 
     def patience(self):
         """Lines ahead, the longest way and answers lately seen: a slow channel breeds no repeats."""
         ahead = int(self.waiting() * S / (self.site.channel_rate or 1))
         return PATIENCE + self.site.way_max + 2 * max(self.took, default=0) + 2 * ahead
 
-    def fits(self, pxs, want, rank, least=None):
-        """Books lines at each proxy: all wanted or, given a least, what has room by lines and messages."""
-        heads = sum(self.site.head + 1 for px in {*self.lines, *pxs})
+    def free(self, rank):
+        """Lines that still have room, by rank."""
         # a slow channel keeps its room for removals, whose grace runs; they wait to go in fewer messages. So
         # does one while the list does not answer: what it tells when it is back comes all at once
         late = max(1, 2 * median(self.took or [0]) / (self.site.drain_grace or S))
         unheard = WAVES if self.hub.lookout.fails else 1
         slow = max(late, unheard) if rank in (HASTY, ORDINARY) else min(late, WAVES)
-        free = rank[0] / slow * self.site.pending_max - self.waiting() - heads - sum(self.lines.values())
-        if self.site.pending_max and pxs and free < want * len(pxs):
+        return rank[0] / slow * self.site.pending_max - self.waiting() - self.booked
+
+    def fits(self, pxs, want, rank, least=None):
+        """Books lines at each proxy: all wanted or, given a least, what has room by lines and messages."""
+        heads = (self.site.head + 1) * sum(px not in self.lines for px in pxs)
+        if self.site.pending_max and pxs and (free := self.free(rank) - heads) < want * len(pxs):
             want = int(free / len(pxs)) if least and free >= least * len(pxs) else 0
         for px in pxs:
             while px.sent and px.sent[0] <= self.now - self.site.messages_window:
@@ -426,29 +516,31 @@
                 return 0
         if want:
             self.lines.update((px, self.lines.get(px, 0) + want) for px in pxs)
+            self.booked += heads + want * len(pxs)
         return want
 
     def on_send(self, levels):
         """One message a proxy; by rank: removals, binds, then cuts, levels and repeats, and weights last."""
         hub, now, binds, joined = self.hub, self.now, [], [px for px in self.hub.pxs if px.joined]
-        self.levels, self.lines, self.urgent, self.sets = levels, {}, False, []
-        users = {tab: [px for px in joined if px.table is tab] for tab in self.tabs.values()}
+        self.levels, self.lines, self.urgent, self.sets, self.booked = levels, {}, False, [], 0
+        users = {tab: [] for tab in [*self.tabs, None]}
+        for px in joined:
+            users[px.table].append(px)
+        loose = users.pop(None)
         if now >= self.sweep_at:
             self.sweep_at = now + SWEEP
-            self.queue = {tab: now for tab in self.tabs.values()}
-        outs = self.removals(joined, users)
-        for px in sorted((px for px in self.joins if px.joined), key=lambda px: (not px.fresh, -px.rate)):
-            tab = self.tabs.get(px.zone)
-            if tab and tab.want and self.fits([px], self.size(tab), BINDS):
-                del self.joins[px]
-                binds.append((px, tab))
+            self.queue = {tab: now for tab in self.tabs}
+        if self.parted and self.out:    # who has waited longer may hold what leaves: the same grace runs
+            self.bind(binds, URGENT, min(self.out.values()))
+        outs = self.removals(joined, users, loose)
+        self.bind(binds, URGENT if self.out and self.parted else BINDS)
         for tab in users:
             rides = users[tab] and all(px in self.lines for px in users[tab])     # levels cost no head then
-            cuts = [(be, w) for be, w in self.changes(tab) if w < 0.5 * tab.told.get(be, 0) and not self.out]
-            self.put(tab, cuts[:self.fits(users[tab], len(cuts), HASTY, 1)])
+            cuts = [(be, w) for be, w in self.changes(tab) if 0 < w < 0.5 * tab.told.get(be, 0)]
+            self.put(tab, cuts[:0 if self.out else self.fits(users[tab], len(cuts), HASTY, 1)])
             if rides or not self.out:
                 self.put_levels(tab, users[tab], URGENT if rides else HASTY)
-        for tab in [tab for tab, due in self.queue.items() if now >= due and not self.out]:
+        for tab in [tab for tab, due in self.queue.items() if now >= due and not (self.out and users[tab])]:
             self.push(tab, users[tab], binds)
         for px, tab in binds:
             px.table = tab
@@ -461,7 +553,21 @@
             if not self.waiting():
                 self.flight.clear()
                 self.proof_at = now
-            self.flight.append((mark, self.lines))
+            self.flight[mark] = [self.lines, self.booked]    # by proxy; and all, less what is answered
+
+    def bind(self, binds, rank, since=None):
+        """Who waits longest first; who holds a standing table only is a quarter of the grace ahead."""
+        rates = self.rates()
+        ahead = max(BEAT, self.site.drain_grace // 4)
+        for px in sorted((px for px in self.joins if px.joined and px.since < (since or self.now + 1)),
+                         key=lambda px: (px.since + (0 if px.fresh else ahead), -px.rate)):
+            tab = px.zone in self.zones and self.zones[px.zone].place(px, rates, bool(self.out))
+            if tab and self.fits([px], self.size(tab), rank):
+                del self.joins[px]
+                binds.append((px, tab))
+                rates[tab] += px.rate
+            elif tab and self.site.pending_max and self.free(rank) < self.size(tab) + self.site.head + 1:
+                break                       # nor is there room for the rest
 
     def push(self, tab, users, binds):
         """The design's queue item, applied when all answered; who leaves a mark open is bound anew."""
@@ -480,11 +586,10 @@
             tab.fails = 0
             del self.queue[tab]
 
-    def removals(self, joined, users):
+    def removals(self, joined, users, loose):
         """Outside the queue's delays: a table sheds all its gone lines in one message, as heads cost more;
         who is not bound yet withdraws them. Until all is out nothing goes but binds and what rides along."""
-        outs, loose = [], [px for px in joined if px.table is None]
-        due = {tab: [be for be in self.out if be in tab.told] for tab in users}
+        outs, due = [], {tab: [be for be in self.out if be in tab.told] for tab in users}
         for tab, gone in sorted(due.items(), key=lambda one: min((self.out[be] for be in one[1]), default=0)):
             room = self.fits(users[tab], len(gone), URGENT, (len(gone) + 1) // 2)
             for be in gone[:room]:
@@ -493,6 +598,7 @@
                 tab.fails, self.queue[tab] = 0, self.now
             if room < len(gone):        # small tables must not take the room again and again
                 break
+        loose = [] if self.parted else loose    # a part's bind is no dearer than withdrawals, and does more
         for be in list(self.out):
             if not any(be in tab.told for tab in users) and self.fits(loose, 1, URGENT):
                 outs += [i.Withdraw(be.handle, True)] if loose else []
@@ -507,7 +613,7 @@
         """Forgets one that is gone, if nothing needs it: its removal is out, and nobody unbound still holds
         it withdrawn (a bind clears that). Who comes back is taken as new, cold if it started lately."""
         loose = part in self.withdrawn and any(px.joined and px.table is None for px in self.hub.pxs)
-        if loose or part in self.out or any(part in tab.told for tab in self.tabs.values()):
+        if loose or part in self.out or any(part in tab.told for tab in self.tabs):
             return False
         self.joins.pop(part, None)
         self.withdrawn.pop(part, None)
@@ -519,12 +625,15 @@
     @staticmethod
     def changes(tab):
         """The lines that differ, the furthest off first: what has room goes, the rest later."""
-        off = {be: w / tab.told.get(be, 1e-9) - 1 for be, w in tab.want.items() if be.state == "ready"}
+        off = {be: w / tab.told.get(be, 1e-9) - 1 for be, w in tab.want.items()
+               if be.state == "ready" and (w or be in tab.told)}
         return [(be, tab.want[be]) for be in sorted(off, key=lambda be: -abs(off[be])) if abs(off[be]) > MOVE]
 
     def put(self, tab, lines):
         self.sets += [i.SetLine(tab.handle, be.handle, w) for be, w in lines]
         tab.told.update(lines)
+        for be in [be for be, w in lines if not w]:
+            del tab.told[be]
 
     def put_levels(self, tab, users, rank):
         for kind, row in self.levels.items():
@@ -537,7 +646,7 @@
     """One instance. step() puts events into inboxes, empties them in one loop and returns the orders."""
 
     def __init__(self, seed, site, now=0):
-        self.site, self.now, self.born, self.orders = site, now, now, []
+        self.site, self.now, self.born, self.orders, self.seed, self.draws = site, now, now, [], seed, 0
         self.ready, self.bes, self.pxs, self.beat_at, self.spans = deque(), [], [], 0, deque(maxlen=KEEP)
         self.forget_at, self.tells_busy = now + SWEEP, False
         self.all_in = ALL_RATE if site.throttle == "rate" else 1.0
@@ -554,6 +663,10 @@
             known.append(handle.actor)
         return handle.actor
 
+    def chance(self):
+        self.draws += 1
+        return crc32(f"{self.seed}:{self.draws}".encode())
+
     def cycle(self):
         """How long reports on a backend take to come round: longer than told where they are capped."""
         return max(self.site.report_cycle, median(self.spans or [0]))
@@ -566,8 +679,11 @@
         for ev in events:
             self.route(ev)
         self.empty()
-        if now >= self.beat_at or self.channel.urgent:
+        if now >= self.beat_at:
             self.beat()
+        elif self.channel.urgent:           # a join or removal waits for no weights
+            self.channel.tell("send", self.table)
+            self.empty()
         return self.orders
 
     def route(self, ev):
@@ -588,7 +704,7 @@
     def forget(self):
         """Guards against growth with all that ever was: by churn of proxies and backends over hours."""
         self.forget_at = self.now + SWEEP
-        for tab in self.channel.tabs.values():
+        for tab in self.channel.tabs:
             tab.told = dict(tab.told)       # made anew, it has no empty places
         for known in (self.bes, self.pxs):
             for part in [p for p in known if p.gone_at is not None and self.now - p.gone_at > FORGET]:
@@ -597,9 +713,8 @@
                     known.remove(part)
 
     def beat(self):
-        if self.now >= self.beat_at:
-            self.beat_at = self.now + BEAT
-            self.orders.append(i.Wake(0, BEAT))
+        self.beat_at = self.now + BEAT
+        self.orders.append(i.Wake(0, BEAT))
         if self.now >= self.forget_at:
             self.forget()
         for part in (self.lookout, *self.bes, *self.pxs):
--- a/embertray/core/holdings.py
+++ b/embertray/core/holdings.py
@@ -9,7 +9,7 @@
 def shelves(it):
     """purpose -> shelves of an Instance, without its streams (those are the daemon's)."""
     module, box, door = it.module, it.outbox, it.door
-    tabs, ordered = list(module.channel.tabs.values()), list(box.tables.values())
+    tabs, ordered = module.channel.tabs, list(box.tables.values())
     lines = [tab.lines for tab in ordered] + [book for tab in tabs for book in (tab.want, tab.told)]
     pxs, bes = module.pxs, module.bes
 
@@ -44,9 +44,9 @@
                   (i.ReqKind, Actor)),
             Shelf("open", sum(map(len, held)), lambda: (item for book in held for item in book), held, HANDLES),
             Shelf("open here", sum(map(len, it.open.values())), lambda: it.open.values(), [it.open], HANDLES),
-            Shelf("flights", sum(len(sent) for _, sent in module.channel.flight),
-                  lambda: (item for _, sent in module.channel.flight for item in sent.items()),
-                  [module.channel.flight, *(sent for _, sent in module.channel.flight)], HANDLES)],
+            Shelf("flights", sum(len(sent) for sent, _ in module.channel.flight.values()),
+                  lambda: (item for sent, _ in module.channel.flight.values() for item in sent.items()),
+                  [module.channel.flight, *(sent for sent, _ in module.channel.flight.values())], HANDLES)],
         "names": [
             Shelf("handles", len(door.backends) + len(door.proxies) + len(door.zones),
                   lists(door.backends, door.proxies, door.zones), [door.backends, door.proxies, door.zones], (Actor,)),
--- a/embertray/platform/post.py
+++ b/embertray/platform/post.py
@@ -68,7 +68,7 @@
         """Who is long gone is forgotten, and marks that nobody owes an answer to."""
         self.forget(lambda thing: thing.door in self.standing.joined)
         open_marks = {mark for px in self.module.pxs for mark, _ in px.open}
-        open_marks.update(mark for mark, _ in self.module.channel.flight)
+        open_marks.update(self.module.channel.flight)
         self.door.marks = {number: mark for number, mark in self.door.marks.items() if mark in open_marks}
 
     def next_at(self):
