Module: messages to a proxy count until they are answered and the window is over

Faulty: Px.sent and Channel.fits counted messages by when they were ordered; a channel that lags, or a proxy that reads again, has them written late and at once, when the first of them no longer counted. Now a message counts until its mark is answered, and for the window from then; one never answered, for the window and the mark's patience. Test on a channel that stands still for 9 s: 12 in a window of at most 8 before, 8 at most after. Two figures of Parts moved into the constants block.

--- a/embertray/choice.py
+++ b/embertray/choice.py
@@ -35,7 +35,7 @@
 URGENT, BINDS, HASTY, ORDINARY = (0.8, 1), (0.6, 1), (0.35, 4), (0.25, 7)    # of lines, messages kept
 WAVES = 2                # x less room for removals and binds in a slow channel: fewer heads, more lines
 PARTED, LINES_LEAST, USERS = 0.7, 8, 5   # of the grace, to bind all in; lines, proxies a table has at least
-COVER = 4                # x: tables in use at all controllers for each line, at least, if they are so few
+COVER, GROWN, IDLE = 4, 1.5, 0.25   # x tables a line; x parts there are; share of mean reqs, as joiners come
 LACKS, MOVES = 0.25, 4   # share that a part lacks until lines move to it; moves a beat, as they cost lines
 PACE = 3                 # x the time a table's weights take the channel: until its next ones go
 HIGH, LOW = 0.38, 0.2    # of the response target: mean wait in queues where load is shed, and let in again
@@ -166,6 +166,7 @@
     def on_answered(self, ev):
         while any(mark is ev.mark for mark, _ in self.open):
             self.open.popleft()
+            self.sent.append(self.now)      # written by now: a channel that lags writes late and at once
         self.hub.channel.tell("through", self, ev.mark, ev.took)
 
     def on_arrivals(self, ev):
@@ -387,7 +388,7 @@
         """Gives each table its part of `want`. `size`: lines of a part, or 0 for no limit."""
         need = max(1, -(-len(want) // size)) if size else 1
         need = need if need <= self.many else min(need, self.usual)
-        if need > 1.5 * len(self.tabs):
+        if need > GROWN * len(self.tabs):
             self.tabs += [Tab() for _ in range(need - len(self.tabs))]
             self.open = min(need, self.usual)
         if len(self.tabs) == 1:
@@ -395,21 +396,20 @@
             return self.tabs
         self.of = {be: tab for be, tab in self.of.items() if be.state == "ready"}
         rates = rates if self.open == len(self.tabs) else {}    # else most have no users, all are alike
-        some = (sum(rates.get(tab, 0.0) for tab in self.tabs) or 1.0) / len(self.tabs) / 4
-        total = sum(rates.get(tab, 0.0) + some for tab in self.tabs)
-        shares = {tab: (rates.get(tab, 0.0) + some) / total for tab in self.tabs}
+        some = (sum(rates.get(tab, 0.0) for tab in self.tabs) or 1.0) / len(self.tabs) * IDLE
+        come = {tab: rates.get(tab, 0.0) + some for tab in self.tabs}
         for zone in dict.fromkeys(be.zone for be in want):
-            self.level({be: w for be, w in want.items() if be.zone is zone}, shares)
+            self.level({be: w for be, w in want.items() if be.zone is zone}, come)
         for tab in self.tabs:
             tab.want = {be: 0 for be in tab.told if self.of.get(be, tab) is not tab}
         for be, w in want.items():
             self.of[be].want[be] = w
         return self.tabs
 
-    def level(self, group, shares):
+    def level(self, group, come):
         """Backends of one zone: new ones go where most is lacking, and from where most is over if much is."""
-        whole = sum(group.values())
-        lack = {tab: share * whole for tab, share in shares.items()}
+        each = sum(group.values()) / sum(come.values())     # weight for what comes
+        lack = {tab: rate * each for tab, rate in come.items()}
         for be in [be for be in group if be in self.of]:
             lack[self.of[be]] -= group[be]
         for be in sorted((be for be in group if be not in self.of), key=lambda be: (-group[be], be.draw)):
@@ -419,10 +419,9 @@
             poor, rich = max(lack, key=lack.get), min(lack, key=lack.get)
             gap = lack[poor] - lack[rich]
             fit = [be for be, w in group.items() if self.of[be] is rich and w < gap]
-            if lack[poor] <= LACKS * shares[poor] * whole or not fit:
+            if lack[poor] <= LACKS * come[poor] * each or not fit:
                 break
-            be = min(fit, key=lambda be: abs(group[be] - gap / 2))
-            self.of[be] = poor
+            self.of[be := min(fit, key=lambda be: abs(group[be] - gap / 2))] = poor
             lack[poor] -= group[be]
             lack[rich] += group[be]
 
@@ -509,10 +508,13 @@
         heads = (self.site.head + 1) * sum(px not in self.lines for px in pxs)
         if self.site.pending_max and pxs and (free := self.free(rank) - heads) < want * len(pxs):
             want = int(free / len(pxs)) if least and free >= least * len(pxs) else 0
+        most = self.site.messages_max
+        lost = most and self.now - self.site.messages_window - self.patience()
         for px in pxs:
             while px.sent and px.sent[0] <= self.now - self.site.messages_window:
                 px.sent.popleft()
-            if (most := self.site.messages_max) and px not in self.lines and len(px.sent) >= most - rank[1]:
+            wrote = len(px.sent) + sum(at > lost for _, at in px.open)     # or may yet be written
+            if most and px not in self.lines and wrote >= most - rank[1]:
                 return 0
         if want:
             self.lines.update((px, self.lines.get(px, 0) + want) for px in pxs)
@@ -549,7 +551,6 @@
             hub.orders.append(i.PutMark(mark := i.Mark()))
             for px in self.lines:
                 px.open.append((mark, now))
-                px.sent.append(now)
             if not self.waiting():
                 self.flight.clear()
                 self.proof_at = now
@@ -557,8 +558,7 @@
 
     def bind(self, binds, rank, since=None):
         """Who waits longest first; who holds a standing table only is a quarter of the grace ahead."""
-        rates = self.rates()
-        ahead = max(BEAT, self.site.drain_grace // 4)
+        rates, ahead = self.rates(), max(BEAT, self.site.drain_grace // 4)
         for px in sorted((px for px in self.joins if px.joined and px.since < (since or self.now + 1)),
                          key=lambda px: (px.since + (0 if px.fresh else ahead), -px.rate)):
             tab = px.zone in self.zones and self.zones[px.zone].place(px, rates, bool(self.out))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from embertray import interface as i
-from embertray.choice import Channel, Controller
+from embertray.choice import Channel, Controller, Planner
 
 MS, S = 10**6, 10**9
 
@@ -26,6 +26,7 @@
         self.module = Controller(seed, self.site, self.now)
         self.state, self.told, self.held, self.bound, self.since = {}, {}, defaultdict(dict), {}, {}
         self.tables, self.free_at, self.most, self.late, self.bare = defaultdict(dict), 0, 0.0, {}, {}
+        self.written = defaultdict(list)
         self.list("cached", self.bes, "ready")
 
     def list(self, how, bes, state, started=0):
@@ -86,6 +87,7 @@
                 mark = one.mark
         for px in cost:
             self.free_at = max(self.free_at, self.now) + int((cost[px] + self.site.head + 1) * S / self.site.channel_rate)
+            self.written[px].append(self.free_at)
             self.channel.append((self.free_at + self.site.way_mean, px, messages[px], mark, self.now))
         self.most = max(self.most, (self.free_at - self.now) * self.site.channel_rate / S)
 
@@ -131,6 +133,30 @@
         with mock.patch.object(Channel, "part", lambda self: 0):
             self.assertGreater(len(crowd(400).late), 1000)
 
+    def test_messages_are_counted_as_written_when_the_channel_lags(self):
+        fleet = Fleet(6, 20, channel_rate=5000.0, pending_max=10**6, messages_max=8)
+        fleet.run(10500 * MS)
+        fleet.join(fleet.pxs, lambda px: fleet.bes[:5])
+        fleet.run(12 * S)
+        fleet.free_at = fleet.now + 9 * S           # the channel stands still, then writes what has waited at once
+        for second in range(25):
+            fleet.list("changes", [fleet.bes[second % 6 - 1]], "ready", 1)
+            fleet.list("changes", [fleet.bes[second % 6]], "draining")
+            fleet.run(fleet.now + S)
+        for times in fleet.written.values():
+            most = max(sum(at - 10 * S < t <= at for t in times) for at in times)
+            self.assertLessEqual(most, fleet.site.messages_max)
+
+    def test_joins_between_beats_solve_nothing(self):
+        fleet = Fleet(30, 100, pending_max=10**5)
+        fleet.run(11 * S)
+        with mock.patch.object(Planner, "on_solve", autospec=True, side_effect=Planner.on_solve) as solves:
+            for px in fleet.pxs:
+                fleet.join([px], lambda px: fleet.bes[:5])
+                fleet.run(fleet.now + 10 * MS, 10 * MS)
+        self.assertEqual(len(fleet.bound), 100)
+        self.assertLessEqual(solves.call_count, 5)      # a second of joins: four beats and one
+
     def test_where_the_channel_can_bring_them_tables_are_whole(self):
         fleet = Fleet(30, 100, channel_rate=5000.0, pending_max=5000.0)
         fleet.run(10500 * MS)
