Module: the decisions stand in a package of twelve small files, same orders to the byte

Need: one file of 724 lines held be, px, weights, levels, tables and channel. Room came from simplifying: figures of be and px are asked for when a solve needs them, in place of notes every beat; a restored backend drops out of the removals where they are sent; a table's removals go through the same `put` as its lines.

--- /dev/null
+++ b/embertray/choice/actor.py
@@ -0,0 +1,18 @@
+"""What every part builds on: its inbox, the constants (c) and the types of events and orders (i)."""
+from collections import deque
+
+from .. import interface as i
+from . import constants as c
+
+
+class Actor:
+    """A part with an inbox; a note is the name of an on_... method and what it is given."""
+
+    now = property(lambda self: self.hub.now)
+
+    def __init__(self, hub, handle=None):
+        self.hub, self.site, self.handle, self.inbox = hub, hub.site, handle, deque()
+
+    def tell(self, note, *what):
+        self.inbox.append((note, what))
+        self.hub.ready.append(self)
--- /dev/null
+++ b/embertray/choice/controller.py
@@ -0,0 +1,84 @@
+from collections import deque
+from statistics import median
+from zlib import crc32
+
+from .actor import c, i
+from .channel import Channel
+from .levels import Levels, Row
+from .lookout import Lookout
+from .planner import Planner
+from .px import Px
+
+
+class Controller:
+    """One instance. step() puts events into inboxes, empties them in one loop and returns the orders."""
+
+    def __init__(self, seed, site, now=0):
+        self.site, self.now, self.born, self.orders, self.seed, self.draws = site, now, now, [], seed, 0
+        self.ready, self.bes, self.pxs, self.beat_at, self.spans = deque(), [], [], 0, deque(maxlen=c.KEEP)
+        self.forget_at, self.tells_busy = now + c.SWEEP, False
+        self.all_in = c.ALL_RATE if site.throttle == "rate" else 1.0
+        self.timeout = max((k.client_timeout for k in site.kinds), default=c.S)
+        worth = sum(kind.credit for kind in site.kinds) or 1
+        self.target = sum(kind.credit * kind.response_target for kind in site.kinds) / worth
+        self.table = {kind: Row(self.all_in, 1) for kind in site.kinds}
+        self.planner, self.levels, self.lookout = Planner(self), Levels(self), Lookout(self)
+        self.channel = Channel(self)
+
+    def part(self, handle, kind, known):
+        if handle.actor is None:
+            handle.actor = kind(self, handle)
+            known.append(handle.actor)
+        return handle.actor
+
+    def chance(self):
+        self.draws += 1
+        return crc32(f"{self.seed}:{self.draws}".encode())
+
+    def cycle(self):
+        """How long reports on a backend take to come round: longer than told where they are capped."""
+        return max(self.site.report_cycle, median(self.spans or [0]))
+
+    def step(self, now, events):
+        self.now, self.orders = now, []
+        for ev in events:
+            self.route(ev)
+        self.empty()
+        if now >= self.beat_at:
+            self.beat_at = now + c.BEAT
+            self.orders.append(i.Wake(0, c.BEAT))
+            self.forget()
+            self.lookout.tell("beat")
+            self.planner.tell("solve")
+        elif self.channel.urgent:           # a join or removal waits for no weights
+            self.channel.tell("send", self.table)
+        self.empty()
+        return self.orders
+
+    def route(self, ev):
+        """To the part an event is for. With slices only removals are ordered."""
+        if isinstance(ev, i.ListNews):
+            self.lookout.tell("news", ev)
+        elif isinstance(ev, i.Heard) and ev.backend.actor:
+            ev.backend.actor.tell("heard", ev)
+        elif isinstance(ev, (i.Arrivals, i.Joined, i.Left, i.Answered)):
+            self.part(ev.proxy, Px, self.pxs).tell(type(ev).__name__.lower(), ev)
+
+    def empty(self):
+        while self.ready:
+            part = self.ready.popleft()
+            note, what = part.inbox.popleft()
+            getattr(part, "on_" + note)(*what)
+
+    def forget(self):
+        """Guards against growth with all that ever was: by churn of proxies and backends over hours."""
+        if self.now < self.forget_at:
+            return
+        self.forget_at = self.now + c.SWEEP
+        for tab in self.channel.tabs:
+            tab.told = dict(tab.told)       # made anew, it has no empty places
+        for known in (self.bes, self.pxs):
+            for part in [p for p in known if p.gone_at is not None and self.now - p.gone_at > c.FORGET]:
+                if self.channel.drop(part):
+                    part.handle.actor = None
+                    known.remove(part)
--- /dev/null
+++ b/embertray/choice/ledger.py
@@ -0,0 +1,57 @@
+from collections import deque
+from statistics import median
+
+from .actor import Actor, c
+
+
+class Ledger(Actor):
+    """What was ordered and not yet answered, by mark; every order is booked here first."""
+
+    def __init__(self, hub):
+        super().__init__(hub)
+        self.lines, self.booked, self.proof_at, self.flight, self.took = {}, 0, hub.now, {}, deque(maxlen=8)
+
+    def on_through(self, px, mark, took):
+        self.took.append(took)
+        if mark in self.flight:
+            while (first := next(iter(self.flight))) is not mark:
+                del self.flight[first]
+            if n := self.flight[mark][0].pop(px, 0):
+                self.flight[mark][1] -= n + self.site.head + 1
+                self.proof_at = self.now
+
+    def waiting(self):
+        """Lines that may still wait: all since the last mark known to be through, less the slowest pace."""
+        gone = (self.now - self.proof_at) * self.site.channel_rate / c.SLOWEST / c.S
+        return max(0.0, sum(left for _, left in self.flight.values()) - gone)
+
+    def patience(self):
+        """Lines ahead, the longest way and answers lately seen: a slow channel breeds no repeats."""
+        ahead = int(self.waiting() * c.S / (self.site.channel_rate or 1))
+        return c.PATIENCE + self.site.way_max + 2 * max(self.took, default=0) + 2 * ahead
+
+    def free(self, rank):
+        """Lines that have room, by rank. A slow channel keeps it for removals, whose grace runs; they wait to
+        go in fewer messages. So it does while the list is silent: what that tells later comes at once."""
+        late = max(1, 2 * median(self.took or [0]) / (self.site.drain_grace or c.S))
+        unheard = c.WAVES if self.hub.lookout.fails else 1
+        slow = max(late, unheard) if rank in (c.HASTY, c.ORDINARY) else min(late, c.WAVES)
+        return rank[0] / slow * self.site.pending_max - self.waiting() - self.booked
+
+    def fits(self, pxs, want, rank, least=None):
+        """Books lines at each proxy: all wanted or, given a least, what has room by lines and messages."""
+        heads = (self.site.head + 1) * sum(px not in self.lines for px in pxs)
+        if self.site.pending_max and pxs and (free := self.free(rank) - heads) < want * len(pxs):
+            want = int(free / len(pxs)) if least and free >= least * len(pxs) else 0
+        most = self.site.messages_max
+        lost = most and self.now - self.site.messages_window - self.patience()
+        for px in pxs:
+            while px.sent and px.sent[0] <= self.now - self.site.messages_window:
+                px.sent.popleft()
+            wrote = len(px.sent) + sum(at > lost for _, at in px.open)     # or may yet be written
+            if most and px not in self.lines and wrote >= most - rank[1]:
+                return 0
+        if want:
+            self.lines.update((px, self.lines.get(px, 0) + want) for px in pxs)
+            self.booked += heads + want * len(pxs)
+        return want
--- /dev/null
+++ b/embertray/choice/levels.py
@@ -0,0 +1,71 @@
+from collections import deque, namedtuple
+
+from .actor import Actor, c, i
+
+
+Row = namedtuple("Row", "level retry")      # a request kind's row: what is let in, how it is tried again
+
+
+class Levels(Actor):
+    """What is let in, and further tries: against overload by what comes or by backends lost, cold or slow."""
+
+    def __init__(self, hub):
+        super().__init__(hub)
+        self.done, self.came = deque(maxlen=c.DONE_KEEP), deque(maxlen=c.CALM)
+        self.calm_at = hub.now + hub.timeout + hub.site.report_cycle  # after a restart a jam is not known yet
+        self.look_at, self.cut_at, self.goal, self.full, self.units = 0, 0, None, 0.0, 1.0     # reqs/s a unit
+
+    def on_state(self, mid, falls, busy, tries, bad, done, able, cold):
+        hub, target, pxs = self.hub, self.hub.target, [px for px in self.hub.pxs if px.joined]
+        if tries and bad / tries > c.MOST_FAIL:
+            self.calm_at = hub.now + hub.timeout
+        if hub.now >= self.look_at and pxs and hub.site.throttle != "none":
+            self.look_at = hub.now + c.LOOK
+            coming = sum(sum(px.rates.values()) for px in pxs)
+            # what came for a while with no queue and nobody denied was done, in the measure it is seen in:
+            # many proxies with few reqs are counted too high. Guards against denying reqs where there is room
+            calm = tries and mid < c.LOW * target and all(r.level == hub.all_in for r in hub.table.values())
+            self.came.append((coming if calm else 0.0, able))
+            came, units = min(n for n, _ in self.came), max(a for _, a in self.came)
+            self.done.append((done / able, able, came / units if len(self.came) == c.CALM else 0.0))
+            most, ably, calmly = (max(column) for column in zip(*self.done))
+            if self.goal is not None and hub.now < self.cut_at:
+                self.full = max(self.full, done / max(able, self.units))   # what a full fleet does, it can do
+            if mid > c.HIGH * target and not (falls and self.goal) and hub.now >= self.cut_at:
+                known = most if self.goal is None else c.AGAIN * max(self.full, self.goal)
+                self.units = able
+                self.full = max(known, c.LET_LEAST * min(coming, sum(px.rate for px in pxs)) / able)
+                self.goal = max(c.DEEP, c.DRAIN * c.HIGH * target / mid) * self.full
+                self.cut_at = hub.now + hub.timeout + hub.site.report_cycle + hub.cycle()
+                hub.orders.append(i.Log(f"overload: {self.goal * able:.0f} of {coming:.0f} reqs/s let in"))
+            elif self.goal is not None and mid < (c.HIGH if falls else c.LOW) * target:
+                self.goal = max(c.FULL * self.full, self.goal * c.GROW)
+                if self.goal * able > coming:
+                    self.goal = None
+                    hub.orders.append(i.Log("overload over: all let in"))
+            # what most was done is what could be done only where the rest could not do all of it
+            shrunk = len(self.done) > c.SURE_LOOKS and able < c.SHRUNK * ably and busy * ably > c.ROOMY * able
+            sure = c.SURE * max(most, calmly) if shrunk else c.ALL_RATE
+            over = coming - (sure if self.goal is None else self.goal) * able
+            self.shed(pxs, max(over, (1 - c.WARY) * coming if cold and hub.now < self.calm_at else 0.0))
+        again = int(hub.now >= self.calm_at)        # 1: only after proof that the first never ran
+        hub.table = {kind: Row(row.level, again) for kind, row in hub.table.items()}
+        hub.channel.tell("send", hub.table)
+
+    def shed(self, pxs, over):
+        for kind in sorted(self.site.kinds, key=lambda k: k.credit):
+            come = [px.rates[kind] for px in pxs]
+            cut = min(over, c.SHED_MOST * sum(come))
+            over, left, level = over - cut, sum(come) - cut, self.hub.all_in
+            if cut > 0:
+                level = self.limit(come, left) if self.site.throttle == "rate" else left / sum(come)
+            old = self.hub.table[kind].level
+            if abs(level / old - 1) > c.LEVEL_MOVE or level == self.hub.all_in != old:
+                self.hub.table[kind] = Row(level, self.hub.table[kind].retry)
+
+    def limit(self, come, rest):
+        for n, rate in zip(range(len(come), 0, -1), sorted(come)):
+            if rate * n >= rest:
+                return max(rest / n, 0.01)
+            rest -= rate
+        return c.ALL_RATE
--- a/embertray/core/holdings.py
+++ b/embertray/core/holdings.py
@@ -1,6 +1,6 @@
 """What a controller's parts hold, by purpose: the shelves that the accounts count. Reads, never changes."""
 from .. import interface as i
-from ..choice import Actor
+from ..choice.actor import Actor
 from ..memory.sizes import Shelf
 
 HANDLES = (i.Handle, i.ReqKind, Actor)
--- a/embertray/measure/accounting.py
+++ b/embertray/measure/accounting.py
@@ -75,7 +75,7 @@
                 found["accounted"] = {p: a.bytes for p, a in self.accounts.by.items()}
                 only = tracemalloc.take_snapshot().filter_traces([
                     tracemalloc.Filter(True, f"*/embertray/{name}") for name in (
-                        "choice.py", "core/*", "door/*", "channel/*", "reports/*", "interface.py")])
+                        "choice/*", "core/*", "door/*", "channel/*", "reports/*", "interface.py")])
                 found["ours"] = sum(stat.size for stat in only.statistics("filename"))
     tracemalloc.start()
     churn.virtual(churn.Plan(hours=0.02), 1, Traced)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,7 +3,9 @@
 from unittest import mock
 
 from embertray import interface as i
-from embertray.choice import Channel, Controller, Planner
+from embertray.choice import Controller
+from embertray.choice.channel import Channel
+from embertray.choice.planner import Planner
 from embertray.standin.fleet import Fleet
 
 MS, S = 10**6, 10**9
