Platform: settings with slices are refused at the start, permissions go unused and are told

Need: a site whose tables belong to slices started and ordered nothing but removals, since the platform's protocol has no words for slices. Now: one line, code 2. Probes and peers' notes are permissions in the settings: not to use them costs no proxy, not to start would fail all of them, so they are told in the log and left. The test of what `run` imports names cluster, fleet, estimate, rig and emulator, too. Test: slices raise, permissions are told; the started program ends with code 2 and one line.

--- a/embertray/platform/post.py
+++ b/embertray/platform/post.py
@@ -9,6 +9,7 @@
 from .limits import SPARE, STRANGERS_PART, TIDY, WAITING_MOST
 from .port import Port
 from .relay import Caller, Done, News, Standing
+from .start import without_words
 from .words import Words
 
 
@@ -17,9 +18,10 @@
 
     def __init__(self, start, now, wall):
         self.told = Briefing.nested(start.settings)
+        self.said = without_words(self.told)
         super().__init__(start.chance, self.told.deployment, now)
         self.words, self.caller, self.standing = Words(self.door, self.told.kinds), Caller(self.module.site.way_max), Standing()
-        self.follow, self.tidy_at, self.said = Follow(start.known.revision), now + TIDY, []
+        self.follow, self.tidy_at = Follow(start.known.revision), now + TIDY
         self.unknown = self.dropped = 0         # reports on nobody that a list ever had; reports that waited too long
         self.strangers_most = max(16, min(int(start.limits.sockets * STRANGERS_PART), start.limits.sockets - SPARE))
         self.news(now, "cached", wall, start.known.members)
--- a/embertray/platform/start.py
+++ b/embertray/platform/start.py
@@ -1,6 +1,7 @@
 """The configuration of one controller, as the platform writes it; read at the start and again at a new configuration."""
 import msgspec
 
+from ..briefing import BadBriefing
 from .discovery import Members
 
 
@@ -47,3 +48,13 @@
         return decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as wrong:
         raise BadStart(f"configuration: {wrong}") from None
+
+
+def without_words(told):
+    """Settings that the platform's protocol has no words for. One that nothing can be served without (tables that belong to
+    slices) raises BadBriefing; permissions go unused: what the log is told of them. A permission is no need, and who would
+    not start for it fails every proxy."""
+    if told.figure("specifics.partitions-n"):
+        raise BadBriefing("specifics.partitions-n: the platform's protocol has no words for slices")
+    unused = [what for what, key in (("probes", "caps.probes"), ("notes to peers", "caps.peer-messages")) if told.yes(key)]
+    return [f"the settings permit {what}: the platform's protocol has no words for them, none are sent" for what in unused]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -306,7 +306,8 @@
     def test_run_imports_nothing_that_it_leaves_off(self):
         code = ("import sys; import embertray.node.service, embertray.cli.logs; print([m for m in sys.modules if m.split('.')[0] in "
                 "('numpy', 'lxml', 'matplotlib', 'lark', 'zstandard', 'click', 'xxhash') or m.startswith(('embertray.daemon', "
-                "'embertray.admin', 'embertray.memory', 'embertray.durable', 'embertray.trust', 'embertray.core', 'embertray.standin'))])")
+                "'embertray.admin', 'embertray.memory', 'embertray.durable', 'embertray.trust', 'embertray.core', 'embertray.standin', "
+                "'embertray.cluster', 'embertray.fleet', 'embertray.estimate', 'embertray.rig', 'embertray.emulator'))])")
         self.assertEqual(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=HERE.parent).stdout, "[]\n")
 
 
@@ -423,6 +424,17 @@
         anyio.run(play)
 
 
+class Wordless(unittest.TestCase):
+    def test_slices_are_refused_and_permissions_go_unused(self):
+        def post(**more):
+            return Post(read(configured(settings={**SETTINGS, **more})), 0, 0)
+        self.assertEqual(post().said, [])
+        with self.assertRaisesRegex(BadBriefing, "partitions-n: .* no words for slices"):
+            post(specifics={**SETTINGS["specifics"], "partitions-n": 8})
+        told = post(caps={"probes": True, "peer-messages": True}).said
+        self.assertEqual([("probes" in one, "peers" in one) for one in told], [(True, False), (False, True)])
+
+
 class Started(unittest.TestCase):
     def test_the_program_by_its_signals(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -443,7 +455,8 @@
                 self.assertEqual(run.wait(timeout=20), 0)
 
     def test_a_bad_configuration_is_one_error(self):
-        for data in (b"{", configured(listen="nowhere"), configured(settings={"specifics": {"agents": "x"}})):
+        sliced = {**SETTINGS, "specifics": {**SETTINGS["specifics"], "partitions-n": 8}}
+        for data in (b"{", configured(listen="nowhere"), configured(settings={"specifics": {"agents": "x"}}), configured(settings=sliced)):
             with tempfile.TemporaryDirectory() as folder:
                 Path(folder, "c").write_bytes(data)
                 done = subprocess.run([sys.executable, "-m", "embertray.node"], env={**os.environ, "ROUTER_CONFIG": str(Path(folder, "c"))},
