--- a/embertray/cli/main.py
+++ b/embertray/cli/main.py
@@ -11,7 +11,7 @@
 from ..admin.ask import ask
 from ..channel.budget import budget
 from ..days import notation, player
-from ..emulator import town
+from ..emulator.play import play as play_emulated
 from ..memory.caps import COLLECT
 from ..model.chance import Streams
 from ..net.address import BadAddress
@@ -184,7 +184,7 @@
     try:
         told = notation.load(day)
         if mode in ("emulated", "flows"):
-            result = town.play(told, seed, "flows" if mode == "flows" else "reqs", progress=show)
+            result = play_emulated(told, seed, "flows" if mode == "flows" else "reqs", progress=show)
         else:
             result = player.play(told, mode, seed, show)
     except (notation.BadDay, BadSite) as wrong:
--- /dev/null
+++ b/embertray/daemon/keeper.py
@@ -0,0 +1,32 @@
+"""What is kept on disk of the list, and when."""
+import anyio
+
+from ..durable.snapshot import CONFIRM, EVERY
+
+
+class Keeper:
+    """Of one `host`, a Service: writes snapshots."""
+
+    def __init__(self, host):
+        self.host, self.due = host, anyio.Event()
+
+    async def run(self):
+        """Snapshots: soon after each change, and now and then while the list stands confirmed."""
+        while True:
+            with anyio.move_on_after(CONFIRM / 1e9):
+                await self.due.wait()
+            self.due = anyio.Event()
+            if not self.host.list.connected or not self.host.trust.spoken:
+                continue
+            now = self.host.clock.now()
+            snapshot = self.host.desk.snapshot(now, self.host.kept.times())
+            try:
+                if self.host.kept.waits:
+                    await anyio.to_thread.run_sync(self.host.kept.save, snapshot)
+                else:
+                    self.host.kept.save(snapshot)
+                self.host.counted["saves"] += 1
+            except OSError as wrong:
+                self.host.counted["save_fails"] += 1
+                self.host.log.warning("the list is not kept; what was kept before stands", why=str(wrong))
+            await self.host.clock.sleep_until(now + EVERY)
--- /dev/null
+++ b/embertray/emulator/backend.py
@@ -0,0 +1,73 @@
+"""A backend without streams: tries come and end as planned calls."""
+
+
+class TownBackend:
+    """model.Backend with the connections that proxies have to it."""
+
+    def __init__(self, town, model, draw):
+        self.town, self.model, self.draw = town, model, draw
+        self.links, self.out, self.bad_for, self.planned = {}, {}, set(), None
+
+    def on_req(self, px, under, attempt, kind, work, until):
+        """A try has come here; its end goes back to `px.ended`."""
+        now, model = self.town.engine.time, self.model
+        if px not in self.links:
+            if model.state == "dead" or model.state == "up" and not model.connect(now):
+                px.ended(under, attempt, "broken", {})
+                return
+            self.links[px] = None
+        self.out[under] = px, attempt
+        if model.state != "up":
+            return
+        if px.name in self.bad_for:
+            self.end(under, attempt, "error", {})
+            return
+        how = model.offer(now, (under, attempt), kind, work, until, self.draw())
+        if how:
+            self.end(under, attempt, how, model.report(now))
+        self.plan()
+
+    def plan(self):
+        when = self.model.next_at()
+        if when is not None and (self.planned is None or when < self.planned):
+            self.planned = when
+            self.town.engine.at(max(when, self.town.engine.time), self.due, when)
+
+    def due(self, when):
+        if self.planned != when:
+            return
+        self.planned, now = None, self.town.engine.time
+        for under, attempt in self.model.advance(now):
+            self.end(under, attempt, "done", self.model.report(now))
+        self.plan()
+
+    def end(self, under, attempt, how, load):
+        found = self.out.get(under)
+        if found is None or found[1] != attempt:
+            return
+        px = self.out.pop(under)[0]
+        way = self.town.between(px.zone, self.model.zone)
+        if way:
+            self.town.engine.after(way, px.ended, under, attempt, how, load)
+        else:
+            px.ended(under, attempt, how, load)
+
+    def gave_up(self, under):
+        self.out.pop(under, None)
+
+    def break_links(self):
+        self.links.clear()
+        out, self.out = self.out, {}
+        for under, (px, attempt) in out.items():
+            px.ended(under, attempt, "broken", {})
+
+    def die(self, silent=False):
+        self.model.die(silent)
+        self.planned = None
+        if not silent:
+            self.break_links()
+
+    def start(self, cold=True):
+        self.model.start(self.town.engine.time, cold)
+        self.planned = None
+        self.break_links()
--- a/embertray/emulator/churn.py
+++ b/embertray/emulator/churn.py
@@ -141,7 +141,7 @@
 
 def sockets(plan, seed=1):
     """The same over loopback sockets and in real time, the controller a process of its own."""
-    from ..measure.fleet import describe
+    from ..site.made import describe
 
     async def main():
         churn = Churn(plan, TcpNet(), LoopClock(), seed)
--- /dev/null
+++ b/embertray/emulator/clients.py
@@ -0,0 +1,43 @@
+"""The clients of a proxy without streams."""
+from ..standin.messages import Req
+
+
+class TownClients:
+    """model.Clients of one proxy."""
+
+    def __init__(self, town, model, source, px, rng, until):
+        self.town, self.model, self.source, self.px, self.rng, self.until = town, model, source, px, rng, until
+
+    def plan(self):
+        when, kind, work = self.source.next(self.town.engine.time, self.rng, self.until)
+        if when is not None:
+            self.town.engine.at(when, self.send, kind, work)
+
+    def send(self, kind, work):
+        now, model = self.town.engine.time, self.model
+        self.put(model.draw(now) if kind is None else model.ask(now, model.kinds[kind], work))
+        self.plan()
+
+    def put(self, ask):
+        engine = self.town.engine
+        within = self.model.attempt(engine.time, ask)
+        if within is None:
+            self.town.eyes.ended(engine.time, ask.at, ask.kind, "lost", 0)
+            return
+        ask.timer = engine.after(within, self.heard, ask.ident, ask.tries, "timeout")
+        self.px.on_req(Req(ask.ident, ask.kind.door, ask.work, within, ask.tries), self.back)
+
+    def back(self, req, how, stay=0):
+        self.heard(req.ident, req.attempt, how, stay)
+
+    def heard(self, ident, tries, how, stay=0):
+        engine = self.town.engine
+        found = self.model.heard(engine.time, ident, tries, how, stay)
+        if found is None:
+            return
+        ask, verdict, took = found
+        ask.timer.cancel()
+        if verdict == "again":
+            engine.at(engine.time + took, self.put, ask)
+        else:
+            self.town.eyes.ended(engine.time, ask.at, ask.kind, verdict, took)
--- a/embertray/emulator/fluid.py
+++ b/embertray/emulator/fluid.py
@@ -13,7 +13,8 @@
 from ..standin.messages import Req
 from ..stream.messages import Came, Met, Sums
 from .engine import S
-from .town import Town, TownProxy
+from .proxy import TownProxy
+from .town import Town
 
 STEP = S // 20          # ns; a quarter of the shortest beat that the module knows
 
--- /dev/null
+++ b/embertray/emulator/hall.py
@@ -0,0 +1,43 @@
+"""The controllers of a day by name."""
+from ..days.controllers import age_in_memory
+from ..durable.snapshot import KeptInMemory
+from .controller import TownController
+
+
+class Hall:
+    """All controllers by name: what troubles kill, freeze and start again."""
+
+    def __init__(self, town):
+        self.town, self.at, self.running, self.lives, self.kept = town, {}, {}, {}, {}
+        clock = self
+
+        class Wall:
+            now = staticmethod(lambda: clock.town.engine.time)
+            wall = staticmethod(lambda: clock.town.engine.time)
+        for me in town.site.controllers[:int(town.day.fleet["controllers"])]:
+            self.at[me.name], self.kept[me.name] = me, KeptInMemory(Wall)
+
+    async def up(self, name):
+        if name not in self.running:
+            life = self.lives.get(name, 0)
+            self.lives[name] = life + 1
+            self.running[name] = TownController(self.town, name, self.at[name], life, self.kept[name])
+
+    def kill(self, name):
+        con = self.running.pop(name, None)
+        if con is not None:
+            con.alive, con.line = False, None
+            self.town.inventory.followers.pop(con, None)
+            for px in list(con.streams.values()):
+                px.break_stream()
+
+    def age(self, name, by, from_start):
+        age_in_memory(self.kept[name], by, from_start)
+
+    def freeze(self, name):
+        if name in self.running:
+            self.running[name].frozen = True
+
+    def thaw(self, name):
+        if name in self.running and self.running[name].frozen:
+            self.running[name].thaw()
--- a/embertray/lab/hunt.py
+++ b/embertray/lab/hunt.py
@@ -5,7 +5,7 @@
 import numpy as np
 
 from ..days import notation, player
-from ..emulator import town
+from ..emulator.play import play as play_emulated
 from ..site import load as load_site
 from ..site.site import HERE as SITES
 
@@ -42,7 +42,7 @@
 def play(lines, seed, core=None, way="emulated"):
     day = notation.read("\n".join(lines), "hunt.day")
     if way == "emulated":
-        return town.play(day, seed, core=core)
+        return play_emulated(day, seed, core=core)
     return player.play(day, seed=seed, core=core)
 
 
--- a/embertray/lab/one.py
+++ b/embertray/lab/one.py
@@ -3,7 +3,7 @@
 import sys
 
 from ..days import player
-from ..emulator import town
+from ..emulator.play import play as play_emulated
 from . import experiment, policies
 
 
@@ -16,7 +16,7 @@
         policies.Oracle.truth = staticmethod(lambda: stages[0].models if stages else {})
     if told.way == "virtual":
         return player.play(day, seed=run.seed, core=core, on_stage=stages.append)
-    return town.play(day, run.seed, "flows" if told.way == "flows" else "reqs", core, on_stage=stages.append)
+    return play_emulated(day, run.seed, "flows" if told.way == "flows" else "reqs", core, on_stage=stages.append)
 
 
 def main():
--- a/embertray/measure/emulated.py
+++ b/embertray/measure/emulated.py
@@ -7,7 +7,7 @@
 import time
 
 from ..days import notation
-from ..emulator import town
+from ..emulator.play import play
 
 S = 10**9
 SIZES = ((25, 40), (90, 150), (300, 500), (1000, 5000))
@@ -23,7 +23,7 @@
 def one(backends, proxies, fidelity, seconds):
     stages = []
     began = time.monotonic()
-    result = town.play(notation.read(text(backends, proxies, seconds), "size.day"), 1, fidelity, on_stage=stages.append,
+    result = play(notation.read(text(backends, proxies, seconds), "size.day"), 1, fidelity, on_stage=stages.append,
                        watched=False)
     wall = time.monotonic() - began
     engine = stages[0].engine
--- a/embertray/measure/fleet.py
+++ b/embertray/measure/fleet.py
@@ -9,12 +9,11 @@
 from pathlib import Path
 
 import anyio
-from lxml import etree
 
 from ..net.clock import LoopClock
 from ..net.process import resident
 from ..net.tcp import TcpNet
-from ..site.site import HERE as SITES
+from ..site.made import describe
 from ..standin.inventory import StandinInventory
 from ..standin.parts import BROKEN, Agenda
 from ..stream.messages import Answer, Came, Met, Orders, Sums
@@ -51,24 +50,6 @@
         await self.stream.send(self.end.pack(Sums(S, met, [Came(kind, 5, 0) for kind in kinds])))
 
 
-def describe(folder, inventory, **changes):
-    """A site file for one controller: the sample 'pushed' with a channel and reports of the given width."""
-    tree = etree.parse(str(SITES / "samples" / "pushed.xml"))
-    root = tree.getroot()
-    root.find("inventory").set("address", inventory)
-    root.find("channel").set("lines-per-second", str(changes.get("rate", 10**6)))
-    root.find("channel").set("lines-waiting", str(changes.get("waiting", 2 * 10**6)))
-    root.find("proxies").set("expected", str(changes.get("proxies", 1000)))
-    root.find("backends").set("expected", str(changes.get("backends", 500)))
-    root.find("reports").set("lines-per-second", str(changes.get("reports", 0)))
-    for element in root.find("controllers"):
-        element.set("listen", "127.0.0.1:0")
-        element.set("admin", "127.0.0.1:0")
-    path = Path(folder) / "site.xml"
-    tree.write(str(path))
-    return path
-
-
 @asynccontextmanager
 async def controller(backends, proxies, saw, **changes):
     """(inventory, names of backends, Bare proxies all bound, process id, result): a controller of its own process under
--- a/embertray/measure/recorded.py
+++ b/embertray/measure/recorded.py
@@ -124,9 +124,9 @@
 
 def day(name, made, seed=1):
     from ..days import notation
-    from ..emulator import town
+    from ..emulator.play import play
     with mock.patch("embertray.drive.drive.Controller", made):
-        town.play(notation.load(name), seed, "reqs")
+        play(notation.load(name), seed, "reqs")
 
 
 def save(path, name, recorder, steps):
--- a/embertray/measure/timed.py
+++ b/embertray/measure/timed.py
@@ -9,7 +9,7 @@
 import anyio
 
 from ..choice import Controller
-from ..daemon import service as daemon
+from ..daemon import proxies as streams
 from ..daemon.service import Service
 from ..days.player import quiet
 from ..durable.snapshot import KeptInMemory
@@ -54,7 +54,7 @@
 def main():
     spent, site = Spent(), load(sys.argv[1])
     Controller.step = spent.timing("module", Controller.step)
-    daemon.encode = spent.timing("codec", daemon.encode)
+    streams.encode = spent.timing("codec", streams.encode)
     ControllerEnd.receive = spent.timing("codec", ControllerEnd.receive)
     anyio.run(run, site, sys.argv[2], backend_options={"use_uvloop": True})
     used = resource.getrusage(resource.RUSAGE_SELF)
--- a/tests/test_degrade.py
+++ b/tests/test_degrade.py
@@ -12,7 +12,7 @@
 from embertray.degrade import Reduced
 from embertray.degrade.gauge import Gauge
 from embertray.degrade.reduced import CALM, ENTER, NAMES, SURE
-from embertray.emulator import town
+from embertray.emulator.play import play
 from embertray.interface import ReqKind
 from embertray.stream.messages import Level
 
@@ -186,7 +186,7 @@
 
     def test_a_spike_is_told_and_over_and_costs_no_rule(self):
         stages = []
-        result = town.play(notation.read(SPIKE, "spike.day"), 4, on_stage=stages.append)
+        result = play(notation.read(SPIKE, "spike.day"), 4, on_stage=stages.append)
         self.assertFalse([why for why in result.rules.values() if why])
         names = [change.new for _, _, change in stages[0].ladder]
         self.assertTrue({"essential", "survival"} & set(names), names)
@@ -205,7 +205,7 @@
             def __init__(self, *args):
                 super().__init__(*args)
                 self.reduced.pin("survival")
-        free, pinned = (town.play(day, 2, core=core) for core in (Instance, Pinned))
+        free, pinned = (play(day, 2, core=core) for core in (Instance, Pinned))
         self.assertFalse([why for why in pinned.rules.values() if why])
         cost = [sum(e.rest[0].cost for e in result.events if e.what == "orders") for result in (free, pinned)]
         self.assertEqual(*cost)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -12,7 +12,7 @@
 
 import sabotage
 from embertray.days import notation, player
-from embertray.emulator import town
+from embertray.emulator.play import play
 from embertray.emulator.engine import Engine
 from embertray.lab import policies
 from embertray.model.backend import Backend, Shape
@@ -28,14 +28,14 @@
 DIGEST = """
 import sys, zlib
 from embertray.days import notation
-from embertray.emulator import town
-print(zlib.crc32(repr(town.play(notation.load("rough"), 5, sys.argv[1]).events).encode()))
+from embertray.emulator.play import play
+print(zlib.crc32(repr(play(notation.load("rough"), 5, sys.argv[1]).events).encode()))
 """
 
 
 def both(name):
     day = notation.load(name)
-    found = player.play(day, seed=3), town.play(day, 3), town.play(day, 3, "flows")
+    found = player.play(day, seed=3), play(day, 3), play(day, 3, "flows")
     return name, [(broken(result), result.credit, len(result.spread) > 0) for result in found]
 
 
@@ -69,7 +69,7 @@
         plain = "site pushed\nfleet backends=6 proxies=4\nload 40/s for 12s\nat 3s slow 30% for 4s times 4\n"
         stages = []
         for text in (plain, plain + "at 5s reconnect p2\n"):
-            town.play(day(text), 7, on_stage=stages.append)
+            play(day(text), 7, on_stage=stages.append)
         first, second = ({at: kind.door for at, kind, _, _ in stage.eyes.reqs if at < stage.zero + 4 * S} for stage in stages)
         self.assertGreater(len(first), 100)
         self.assertEqual(first, second)
@@ -79,27 +79,27 @@
     def test_a_sabotaged_controller_breaks_its_rule_here_too(self):
         rough = day("site pushed\nfleet backends=6 proxies=6\nload 60/s for 20s\nat 4s deploy b1 b2 batch=2 drain=8s by 1s\n")
         for fidelity in ("reqs", "flows"):
-            result = town.play(rough, 2, fidelity, core=sabotage.DropsRemovals)
+            result = play(rough, 2, fidelity, core=sabotage.DropsRemovals)
             self.assertIn("drain", broken(result), fidelity)
-            self.assertEqual(broken(town.play(rough, 2, fidelity)), {})
+            self.assertEqual(broken(play(rough, 2, fidelity)), {})
 
     def test_what_needs_streams_is_refused_by_line(self):
         text = "site pushed\nload 10/s for 5s\nat 2s half-message p1\n"
         with self.assertRaisesRegex(notation.BadDay, "here:3: 'half-message' needs true streams"):
-            town.play(day(text))
+            play(day(text))
         with self.assertRaisesRegex(notation.BadDay, "emulated only"):
             player.play(day("site pushed\nfleet cross=4ms\nload 10/s for 5s\n"))
 
     def test_ways_between_zones_take_their_time(self):
         text = "site pushed\nfleet backends=6 proxies=6 cross={}\nload 30/s for 10s\n"
         for policy, least in (("even", 35_000), ("module", 0)):         # two of three backends are in another zone
-            near, far = (town.play(day(text.format(way)), 4, core=policies.core(policy)).took.get_value_at_percentile(50)
+            near, far = (play(day(text.format(way)), 4, core=policies.core(policy)).took.get_value_at_percentile(50)
                          for way in ("0ms", "40ms"))
             self.assertGreater(far, near + least)
 
     def test_in_flows_every_req_has_one_end(self):
         stages = []
-        result = town.play(notation.load("overload"), 2, "flows", on_stage=stages.append)
+        result = play(notation.load("overload"), 2, "flows", on_stage=stages.append)
         for kind, (asked, *ends) in stages[0].outcomes().items():
             self.assertAlmostEqual(asked, sum(ends), delta=0.01 * asked, msg=kind.door)
         self.assertLess(result.credit, 0.99)
@@ -107,7 +107,7 @@
     def test_a_flash_crowd_is_seen_second_by_second(self):
         text = "site pushed\nfleet backends=6 proxies=6\nload 40/s for 16s source=flash times=12 at=6s period=4s\n"
         for fidelity in ("reqs", "flows"):
-            line = town.play(day(text), 1, fidelity).line
+            line = play(day(text), 1, fidelity).line
             self.assertGreater(min(x for x in line[1:5] if x is not None), 0.97)
             self.assertLess(min(line[6:11]), 0.9)
 
