Module: overload goals follow the proxies here, a start's guess comes back, bare tables go first

Causes: goals were reqs a second a unit of capacity, so proxies that came from other controllers brought no part of it (Levels.on_state, all lines with `able`); a goal that rests on a guess came back by 1.5% a look (GROW); the guess of a just started one was 0.3 of the usual. Excluded: five acting in step (cuts at 15.8, 19.2, 23.6, 24.0 s, no second cut), CPU (0.37 s in the worst second), the channel. Be.set at once, in place of notes: a sick cut overwrote the capacity learnt in the same solve (Planner.judge told be.cap of before). A part's lines had all left, weights of other tables took the room each beat. It goes first now, at the removals' rank (channel.py, thin). A part with nothing to want gets the best few of the list (parts.deal).

--- a/embertray/choice/be.py
+++ b/embertray/choice/be.py
@@ -31,7 +31,6 @@
         self.hub.spans.append(ev.span)
         self.hub.tells_busy = "busy" in ev.load or self.hub.tells_busy
         if self.now - ev.span >= self.deaf_until and ev.tries > 0:
-            # its own word of how loaded it is: the first such figure that reports carry
             load = next((ev.load[name] for name in ("busy", "waiting", "held") if name in ev.load), None)
             self.samples.append(Heard(self.now, ev.tries, ev.errored, ev.latency, load, ev.zone, ev.span))
 
@@ -39,7 +38,7 @@
         """Tries, errored, mean latency (errors: a client time-out), done a second by told spans."""
         rows = [r for r in self.samples if r.at > start]
         tries, bad = sum(r.tries for r in rows), sum(r.errored for r in rows)
-        least = self.now - max(start, self.hub.born) - self.hub.cycle()    # spans with no try go unsaid
+        least = self.now - max(start, self.hub.born) - self.hub.cycle    # spans with no try go unsaid
         spans = {}
         for r in rows:
             spans[r.zone] = spans.get(r.zone, 0) + r.span
@@ -58,7 +57,7 @@
 
     def figures(self):
         """What its samples come to now. An errored try counts as one that just missed its target."""
-        long, short = (self.now - max(least, 2 * self.hub.cycle()) for least in (c.WINDOW, c.SHORT))
+        long, short = (self.now - max(least, 2 * self.hub.cycle) for least in (c.WINDOW, c.SHORT))
         start, aim = max(long, self.new), self.hub.target       # what it did cold or sick does not count
         newest = [r for r in self.samples if r.at > self.now - self.site.report_cycle * 3 // 2]
         loads = [r.load for r in self.samples if r.load is not None and r.at > self.now - c.WINDOW]
@@ -66,7 +65,7 @@
                        sum(loads) / len(loads) if loads else None,
                        tuple((r.tries, (r.tries - r.errored) * r.latency + r.errored * aim) for r in newest))
 
-    def on_set(self, cap, health):
+    def set(self, cap, health):
         """What reports tell of the time before a cut does not count."""
         if health < self.health:
             self.deaf_until = self.now + self.site.report_cycle + self.site.way_max
--- a/embertray/choice/channel.py
+++ b/embertray/choice/channel.py
@@ -60,8 +60,11 @@
         self.bind(binds, c.URGENT if self.out and self.parted else c.BINDS)
         for tab in users:
             rides = users[tab] and all(px in self.lines for px in users[tab])     # levels cost no head then
-            cuts = [(be, w) for be, w in self.changes(tab) if 0 < w < 0.5 * tab.told.get(be, 0)]
-            self.put(tab, cuts[:0 if self.out else self.fits(users[tab], len(cuts), c.HASTY, 1)])
+            # against proxies without a line to pick
+            thin = users[tab] and len(tab.told) < min(c.LINES_LEAST, len(tab.want) / 2)
+            cuts = [(be, w) for be, w in self.changes(tab)
+                    if thin and w or not self.out and 0 < w < 0.5 * tab.told.get(be, 0)]
+            self.put(tab, cuts[:self.fits(users[tab], len(cuts), c.URGENT if thin else c.HASTY, 1)])
             if rides or not self.out:
                 self.put_levels(tab, users[tab], c.URGENT if rides else c.HASTY)
         for tab in [tab for tab, due in self.queue.items() if now >= due and not (self.out and users[tab])]:
--- a/embertray/choice/controller.py
+++ b/embertray/choice/controller.py
@@ -35,15 +35,12 @@
         self.draws += 1
         return crc32(f"{self.seed}:{self.draws}".encode())
 
-    def cycle(self):
-        """How long reports on a backend take to come round: longer than told where they are capped."""
-        return max(self.site.report_cycle, median(self.spans or [0]))
-
     def step(self, now, events):
         self.now, self.orders = now, []
         for ev in events:
             self.route(ev)
-        self.empty()
+        self.empty()        # cycle: of reports on a backend, longer than told where they are capped
+        self.cycle = max(self.site.report_cycle, median(self.spans or [0]))
         if now >= self.beat_at:
             self.beat_at = now + c.BEAT
             self.orders.append(i.Wake(0, c.BEAT))
--- a/embertray/choice/levels.py
+++ b/embertray/choice/levels.py
@@ -13,7 +13,7 @@
         super().__init__(hub)
         self.done, self.came = deque(maxlen=c.DONE_KEEP), deque(maxlen=c.CALM)
         self.calm_at = hub.now + hub.timeout + hub.site.report_cycle  # after a restart a jam is not known yet
-        self.look_at, self.cut_at, self.goal, self.full, self.units = 0, 0, None, 0.0, 1.0     # reqs/s a unit
+        self.look_at, self.cut_at, self.goal, self.full, self.units, self.pace = 0, 0, None, 0.0, 1.0, c.GROW
 
     def on_state(self, mid, falls, busy, tries, bad, done, able, cold):
         hub, target, pxs = self.hub, self.hub.target, [px for px in self.hub.pxs if px.joined]
@@ -22,31 +22,37 @@
         if hub.now >= self.look_at and pxs and hub.site.throttle != "none":
             self.look_at = hub.now + c.LOOK
             coming = sum(sum(px.rates.values()) for px in pxs)
+            # other controllers' proxies have their part of the fleet: a unit is a backend for a usual req/s
+            unit = able * (usual := sum(px.rate for px in pxs) or 1.0)
             # what came for a while with no queue and nobody denied was done, in the measure it is seen in:
             # many proxies with few reqs are counted too high. Guards against denying reqs where there is room
             calm = tries and mid < c.LOW * target and all(r.level == hub.all_in for r in hub.table.values())
-            self.came.append((coming if calm else 0.0, able))
-            came, units = min(n for n, _ in self.came), max(a for _, a in self.came)
-            self.done.append((done / able, able, came / units if len(self.came) == c.CALM else 0.0))
+            self.came.append((coming if calm else 0.0, unit))
+            came, units = min(n for n, _ in self.came), max(u for _, u in self.came)  # reports lag who leaves
+            self.done.append((done / units, able, came / units if len(self.came) == c.CALM else 0.0))
             most, ably, calmly = (max(column) for column in zip(*self.done))
             if self.goal is not None and hub.now < self.cut_at:
-                self.full = max(self.full, done / max(able, self.units))   # what a full fleet does, it can do
+                self.full = max(self.full, done / max(units, self.units))  # what a full fleet does, it can do
             if mid > c.HIGH * target and not (falls and self.goal) and hub.now >= self.cut_at:
                 known = most if self.goal is None else c.AGAIN * max(self.full, self.goal)
-                self.units = able
-                self.full = max(known, c.LET_LEAST * min(coming, sum(px.rate for px in pxs)) / able)
+                self.units = unit
+                least = c.LET_LEAST if len(self.done) > c.SURE_LOOKS else c.LET_NEW     # too new to know
+                self.full = max(known, least * min(coming, usual) / unit)
+                self.pace = c.FIND if known < self.full else c.GROW     # a guess is to be found out
                 self.goal = max(c.DEEP, c.DRAIN * c.HIGH * target / mid) * self.full
-                self.cut_at = hub.now + hub.timeout + hub.site.report_cycle + hub.cycle()
-                hub.orders.append(i.Log(f"overload: {self.goal * able:.0f} of {coming:.0f} reqs/s let in"))
+                self.cut_at = hub.now + hub.timeout + hub.site.report_cycle + hub.cycle
+                hub.orders.append(i.Log(f"overload: {self.goal * unit:.0f} of {coming:.0f} reqs/s let in"))
             elif self.goal is not None and mid < (c.HIGH if falls else c.LOW) * target:
-                self.goal = max(c.FULL * self.full, self.goal * c.GROW)
-                if self.goal * able > coming:
+                self.goal = max(c.FULL * self.full, self.goal * self.pace)
+                if self.goal * unit > coming:
                     self.goal = None
                     hub.orders.append(i.Log("overload over: all let in"))
+            elif hub.now >= self.cut_at:
+                self.pace = c.GROW
             # what most was done is what could be done only where the rest could not do all of it
             shrunk = len(self.done) > c.SURE_LOOKS and able < c.SHRUNK * ably and busy * ably > c.ROOMY * able
             sure = c.SURE * max(most, calmly) if shrunk else c.ALL_RATE
-            over = coming - (sure if self.goal is None else self.goal) * able
+            over = coming - (sure if self.goal is None else self.goal) * unit
             self.shed(pxs, max(over, (1 - c.WARY) * coming if cold and hub.now < self.calm_at else 0.0))
         again = int(hub.now >= self.calm_at)        # 1: only after proof that the first never ran
         hub.table = {kind: Row(row.level, again) for kind, row in hub.table.items()}
--- a/embertray/choice/parts.py
+++ b/embertray/choice/parts.py
@@ -39,6 +39,9 @@
             tab.want = {be: 0 for be in tab.told if self.of.get(be, tab) is not tab}
         for be, w in want.items():
             self.of[be].want[be] = w
+        few = sorted(want, key=lambda be: -want[be])[:c.LINES_LEAST]
+        for tab in [tab for tab in self.tabs if not any(tab.want.values())]:
+            tab.want.update((be, want[be]) for be in few)       # against proxies without a line to pick
         return self.tabs
 
     def level(self, group, come):
--- a/embertray/choice/planner.py
+++ b/embertray/choice/planner.py
@@ -16,16 +16,14 @@
         for px in [px for px in self.hub.pxs if px.joined]:
             px.look()
             need[px.zone] = need.get(px.zone, 0.0) + px.rate_long
-        caps = {r.be: r.be.cap for r in rows}
         if now >= self.next_solve:
             self.next_solve = now + c.SOLVE
-            well = [r for r in rows if r.be.health >= 1]
-            self.learn([r for r in well if r.long[0] >= c.HEARD and r.span >= c.SOLVE], caps)
+            self.learn([r for r in rows if r.be.health >= 1 and r.long[0] >= c.HEARD and r.span >= c.SOLVE])
             for be, (tries, bad, *_), *_ in rows:
                 good = tries >= c.BACK_TRIES and bad <= tries / 4 or not tries and now - be.since > c.MUTE
-                if good and be.health < 1 and now > be.deaf_until + self.hub.cycle():
-                    be.tell("set", be.cap, min(1.0, be.health * c.BACK))
-        health = self.judge(rows)
+                if good and be.health < 1 and now > be.deaf_until + self.hub.cycle:
+                    be.set(be.cap, min(1.0, be.health * c.BACK))
+        self.judge(rows)
         # guards against the first reports after a start: they tell of few backends, and of those by chance
         most = 2 * sum(r.short[0] > 0 for r in rows) >= len(rows)
         done = sum(n for r in rows for n, _ in r.newest) if most else 0
@@ -37,10 +35,10 @@
         loads = [r.load for r in rows if r.load is not None] if self.hub.tells_busy else []
         busy = sum(loads) / len(loads) if loads else 1.0
         self.hub.levels.tell("state", mid, falls, busy, *(sum(r.short[k] for r in rows) for k in (0, 1, 3)),
-                             sum(caps[r.be] * r.warm for r in rows) or 1.0, any(r.warm < 1 for r in rows))
-        self.lines({r.be: caps[r.be] * r.warm * health[r.be] for r in rows if r.warm >= 1 or not jam}, need)
+                             sum(r.be.cap * r.warm for r in rows) or 1.0, any(r.warm < 1 for r in rows))
+        self.lines({r.be: r.be.cap * r.warm * r.be.health for r in rows if r.warm >= 1 or not jam}, need)
 
-    def learn(self, rows, caps):
+    def learn(self, rows):
         """The companion's estimate, moved past MOVE only, by STEP at most. A told load vetoes a move further
         off: latency alone starves slow machines that have time. Hurts where loads are told wrong."""
         mid, ease = median([r.long[2] for r in rows] or [0]), c.EASE * self.hub.target
@@ -51,24 +49,20 @@
             want = min(c.CAP_HIGH, max(c.CAP_LOW, value / mean))
             off, more = (r.load or usual) - usual, want / r.be.cap - 1
             if abs(more) > c.MOVE and (off * more <= 0 or abs(off) <= c.LOADED * usual):
-                caps[r.be] = r.be.cap * min(1 + c.STEP, max(1 - c.STEP, want / r.be.cap))
-                r.be.tell("set", caps[r.be], r.be.health)
+                r.be.set(r.be.cap * min(1 + c.STEP, max(1 - c.STEP, want / r.be.cap)), r.be.health)
 
     def judge(self, rows):
         """Guards against backends that err far more than their peers: they keep the part that they answer. A
         general trouble moves the quartile. Hurts where few peers are heard."""
-        health = {r.be: r.be.health for r in rows}
         many = [r for r in rows if r.short[0] >= c.SICK_TRIES and r.be.health > c.TRICKLE]
         share = {r.be: r.short[1] / r.short[0] for r in many}
         usual = sorted(share.values())[len(share) // 4] if share else 0
-        room = int(c.SICK_MOST * len(rows)) - sum(1 for h in health.values() if h < 1)
+        room = int(c.SICK_MOST * len(rows)) - sum(r.be.health < 1 for r in rows)
         for be in sorted((be for be, s in share.items() if s > c.SICK + usual), key=lambda be: -share[be]):
             if be.health < 1 or room > 0:
                 room -= be.health >= 1
-                health[be] = max(c.TRICKLE, health[be] * (1 - share[be]))
-                be.tell("set", be.cap, health[be])
+                be.set(be.cap, max(c.TRICKLE, be.health * (1 - share[be])))
                 self.hub.orders.append(i.Log("a backend errs far more than its peers: its weight is cut"))
-        return health
 
     def lines(self, eff, need):
         """Zone tables hold all listed. Where crossing costs, a part of a zone's reqs stays home as far as its
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -42,6 +42,32 @@
         with mock.patch.object(Channel, "part", lambda self: 0):
             self.assertGreater(len(crowd(400).late), 1000)
 
+    def test_no_table_is_left_without_a_line_while_few_are_warm(self):
+        """In a jam cold backends get no lines: the few that do must stand in every part."""
+        fleet = crowd(400)
+        channel = fleet.module.channel
+        parts = next(iter(channel.zones.values()))
+        self.assertGreater(len(parts.tabs), 4)
+        warm = {be: 1.0 for be in fleet.module.bes if be.state == "ready" and be.handle.door in ("be-150", "be-151", "be-152")}
+        self.assertEqual(len(warm), 3)
+        parts.deal(warm, channel.part(), channel.rates())
+        for tab in parts.tabs:
+            self.assertTrue(any(tab.want.values()), "a table without a line")
+        all_ready = {be: 1.0 for be in fleet.module.bes if be.state == "ready"}
+        parts.deal(all_ready, channel.part(), channel.rates())          # and once there are enough each has its own again
+        self.assertEqual(sorted(be.handle.door for tab in parts.tabs for be, w in tab.want.items() if w),
+                         sorted(be.handle.door for be in all_ready))
+
+    def test_a_table_without_lines_does_not_wait_behind_weights(self):
+        """Seen for 7 s: all of a part's lines were removed, and each beat other tables' weights took the room first."""
+        fleet = crowd(400)
+        channel = fleet.module.channel
+        bare = next(px.table for px in fleet.module.pxs if px.table)
+        bare.told.clear()
+        with mock.patch.object(Channel, "waiting", lambda self: 0.4 * self.site.pending_max):    # no room for weights or cuts
+            fleet.run(fleet.now + S)
+        self.assertGreaterEqual(len(bare.told), 8)
+
     def test_messages_are_counted_as_written_when_the_channel_lags(self):
         fleet = Fleet(Controller, 6, 20, channel_rate=5000.0, pending_max=10**6, messages_max=8)
         fleet.run(10500 * MS)
