--- a/embertray/choice/channel.py
+++ b/embertray/choice/channel.py
@@ -42,9 +42,9 @@
         self.out[be], self.urgent = self.now, True
 
     def on_send(self, levels):
-        """One message a proxy; by rank: removals, binds, then cuts, levels and repeats, and weights last."""
+        """One message a proxy; by rank: removals, binds, then (at beats, with levels) cuts, repeats, weights."""
         hub, now, binds, joined = self.hub, self.now, [], [px for px in self.hub.pxs if px.joined]
-        self.levels, self.lines, self.urgent, self.sets, self.booked = levels, {}, False, [], 0
+        self.levels, self.lines, self.urgent, self.sets, self.booked = levels or self.levels, {}, False, [], 0
         self.out = {be: at for be, at in self.out.items() if be.state != "ready"}
         users = {tab: [] for tab in [*self.tabs, None]}
         for px in joined:
@@ -58,7 +58,7 @@
         # a part's bind is no dearer than withdrawals, and does more
         outs = self.removals(joined, users, [] if self.parted else loose)
         self.bind(binds, c.URGENT if self.out and self.parted else c.BINDS)
-        for tab in users:
+        for tab in users if levels else ():
             rides = users[tab] and all(px in self.lines for px in users[tab])     # levels cost no head then
             # against proxies without a line to pick
             thin = users[tab] and len(tab.told) < min(c.LINES_LEAST, len(tab.want) / 2)
@@ -67,7 +67,8 @@
             self.put(tab, cuts[:self.fits(users[tab], len(cuts), c.URGENT if thin else c.HASTY, 1)])
             if rides or not self.out:
                 self.put_levels(tab, users[tab], c.URGENT if rides else c.HASTY)
-        for tab in [tab for tab, due in self.queue.items() if now >= due and not (self.out and users[tab])]:
+        due = [tab for tab, at in self.queue.items() if levels and now >= at and not (self.out and users[tab])]
+        for tab in due:
             self.push(tab, users[tab], binds)
         for px, tab in binds:
             px.table = tab
--- a/embertray/choice/controller.py
+++ b/embertray/choice/controller.py
@@ -48,7 +48,7 @@
             self.lookout.tell("beat")
             self.planner.tell("solve")
         elif self.channel.urgent:           # a join or removal waits for no weights
-            self.channel.tell("send", self.table)
+            self.channel.tell("send", None)
         self.empty()
         return self.orders
 
