--- /dev/null
+++ b/embertray/cluster/membership/core.py
@@ -0,0 +1,298 @@
+"""The detector: SWIM's probes through helpers and suspicions, Lifeguard's local health, lives for names that come again."""
+from collections import Counter, namedtuple
+
+from .health import Health
+from .member import ALIVE, DEAD, LEFT, SUSPECT, Member, Statement
+from .messages import VERSION, Ack, All, Help, Join, Nack, Ping
+from .pace import Pace
+from .probes import Probe, Round
+from .rumors import Rumors
+
+Change = namedtuple("Change", "name state address")         # told once for each change of a member, in order
+
+
+class Membership:
+    """One process. `wall`: ns by its own wall clock, which makes its life; `chance`: a seeded random.Random. Hand in what came
+    (`receive`) and the time (`advance`, at `next_at` at the latest); both give [(address, message)] to send. `changes` and
+    `refused` are to be read; `ended` says why this process has to end, if it has to."""
+
+    def __init__(self, cluster, name, address, wall, now, chance, seeds=(), pace=Pace()):
+        self.cluster, self.pace, self.chance = cluster, pace, chance
+        self.me, self.members = Statement(name, address, wall, 0, ALIVE), {}
+        self.seeds = [seed for seed in seeds if seed != address]
+        self.rumors, self.health, self.round, self.probes = Rumors(), Health(pace.worst), Round(chance), {}
+        self.number, self.changes, self.refused, self.ended = 0, [], Counter(), ""
+        self.joined, self.last, self.heard = not self.seeds, now, now
+        self.probe_at, self.beckon_at, self.out = now + chance.randrange(pace.period), now, []
+
+    # ---- what is asked of it
+
+    @property
+    def here(self):
+        """Members that are taken to be there, this one not counted."""
+        return [member for member in self.members.values() if member.here]
+
+    def cut_off(self, now):
+        """Whether this process believes that it is it who is cut off: others were there, and none was heard for as long
+        as it takes to declare one dead."""
+        known = [m for m in self.members.values() if m.state != LEFT]
+        return bool(known) and now - self.heard > self.pace.least(len(known) + 1) + 2 * self.pace.period
+
+    def state_of(self, name):
+        member = self.members.get(name)
+        return None if member is None else member.state
+
+    # ---- time
+
+    def next_at(self):
+        """When to call `advance` at the latest, ns."""
+        times = [self.probe_at, self.beckon_at]
+        times += [probe.until if probe.helped or probe.for_ else probe.direct_by for probe in self.probes.values()]
+        times += [m.deadline for m in self.members.values() if m.deadline is not None]
+        return min(times)
+
+    def advance(self, now):
+        if self.ended:
+            return []
+        self.woke(now)
+        self.out = []
+        for number, probe in list(self.probes.items()):
+            if not probe.for_ and not probe.helped and now >= probe.direct_by:
+                self.ask_helpers(now, number, probe)
+            if now >= probe.until:
+                self.failed(now, number, probe)
+        for member in list(self.members.values()):
+            if member.deadline is not None and now >= member.deadline:
+                self.take(now, self.about(member, DEAD))
+            elif member.state in (DEAD, LEFT) and now - member.since > self.pace.keep:
+                del self.members[member.name]
+        if now >= self.probe_at:
+            self.probe_at = max(self.probe_at + self.pace.period, now)
+            self.probe(now)
+        if now >= self.beckon_at:
+            self.beckon_at = now + (self.pace.beckon if self.joined else self.pace.period)
+            self.beckon(now)
+        return self.out
+
+    def woke(self, now):
+        """We may have stood still (stopped, or without a core): what we missed then is no sign against others."""
+        gap, self.last = now - self.last, now
+        if gap <= self.pace.gap + self.pace.period:
+            return
+        self.health.bad(self.pace.worst)
+        self.probes.clear()
+        self.heard += gap
+        for member in self.members.values():
+            if member.deadline is not None:
+                member.deadline += gap
+
+    def probe(self, now):
+        name = self.round.next(member.name for member in self.here)
+        if name is None:
+            return
+        member = self.members[name]
+        number = self.next_number()
+        self.probes[number] = Probe(name, member.said.life, now + self.health.stretch(self.pace.answer),
+                                    now + self.health.stretch(self.pace.period))
+        self.send(member, Ping, number)
+
+    def ask_helpers(self, now, number, probe):
+        probe.helped = True
+        others = sorted(m.name for m in self.here if m.name != probe.target)
+        member = self.members.get(probe.target)
+        for name in self.chance.sample(others, min(self.pace.helpers, len(others))) if member else ():
+            probe.asked += 1
+            self.send(self.members[name], Help, number, about=member.said)
+
+    def failed(self, now, number, probe):
+        del self.probes[number]
+        if probe.for_:
+            return                                  # the asker knows by its own time
+        self.health.bad(1 + probe.asked if probe.asked else 1)      # helpers that did not even say no: it may be us
+        member = self.members.get(probe.target)
+        if member is not None and member.here and member.said.life == probe.life:
+            self.take(now, self.about(member, SUSPECT))
+
+    def beckon(self, now):
+        """Seeds, and those taken for dead, are pinged now and then: so the sides of a split find each other again."""
+        known = {m.address for m in self.here}
+        lost = sorted(m.name for m in self.members.values() if m.state == DEAD)
+        for name in self.chance.sample(lost, min(1, len(lost))):
+            self.send(self.members[name], Ping, self.next_number())
+        away = [seed for seed in self.seeds if seed not in known]
+        if away and (not self.joined or not lost):
+            for seed in away if not self.joined else self.chance.sample(away, 1):
+                self.put(seed, Join, 0, self.next_number(), "", first=not self.joined)
+
+    # ---- messages
+
+    def receive(self, now, address, message):
+        """`address`: whence it came, for the counts of refusals; answers go to the address that the sender tells."""
+        if self.ended:
+            return []
+        self.woke(now)
+        self.out = []
+        if message.cluster != self.cluster or message.version != VERSION:
+            self.refused["cluster" if message.cluster != self.cluster else "version", address] += 1
+            return []
+        if message.to_life not in (0, self.me.life):
+            self.refused["former life", address] += 1       # a replay, or it does not know yet that we are new
+            if message.sender.name != self.me.name:
+                self.put(message.sender.address, Ping, message.sender.life, self.next_number(), message.sender.name)
+            return self.out
+        self.joined = self.joined or message.to_life == self.me.life        # this very life is known there
+        known = self.members.get(message.sender.name)
+        if known is not None and message.sender.life < known.said.life:
+            self.refused["former life", address] += 1
+            if not isinstance(message, Join):       # an older process of that name, or a replay: told of the younger
+                self.put(message.sender.address, Ack, message.sender.life, message.number, "", news=[known.said])
+                return self.out
+        elif message.sender.name != self.me.name:
+            self.take(now, message.sender)
+            self.heard = now
+            self.members[message.sender.name].heard = now
+        for said in message.news:
+            self.take(now, said)
+        getattr(self, "on_" + type(message).__name__.lower())(now, message)
+        return self.out
+
+    def on_ping(self, now, message):
+        self.answer(message, Ack, message.number)
+
+    def on_ack(self, now, message):
+        probe = self.probes.pop(message.number, None)
+        if probe is None:
+            return
+        if probe.for_:
+            asker, number = probe.for_
+            if asker in self.members:
+                self.send(self.members[asker], Ack, number)
+        else:
+            self.health.good()
+
+    def on_help(self, now, message):
+        member = self.members.get(message.about.name)
+        if member is None or member.said.life != message.about.life:
+            self.take(now, message.about)
+            member = self.members.get(message.about.name)
+        if member is not None:
+            number = self.next_number()
+            until = now + self.pace.period
+            self.probes[number] = Probe(member.name, member.said.life, until, until, (message.sender.name, message.number))
+            self.send(member, Ping, number)
+        self.answer(message, Nack, message.number)
+
+    def on_nack(self, now, message):
+        probe = self.probes.get(message.number)
+        if probe is not None:
+            probe.asked = max(0, probe.asked - 1)
+
+    def on_join(self, now, message):
+        """All that is known, in as many messages as it takes; and the latest life of the asker's name."""
+        known = self.members.get(message.sender.name)
+        remembered = known.said.life if known is not None else 0
+        rows = [self.me]
+        for said in [m.said for m in self.members.values()] + [None]:
+            if said is None or len(rows) >= 12:
+                self.put(message.sender.address, All, 0, message.number, "", news=rows, remembered=remembered)
+                rows = []
+            if said is not None:
+                rows.append(said)
+
+    def on_all(self, now, message):
+        if message.remembered > self.me.life:
+            if self.joined:
+                self.end(f"a younger process has the name {self.me.name}")
+                return
+            # our clock is behind what peers remember of this name: we are younger all the same
+            self.me = Statement(self.me.name, self.me.address, message.remembered + 1, 0, ALIVE)
+        if not self.joined:
+            self.joined = True
+            self.rumors.put(self.me)
+        if message.sender.name in self.members:
+            self.members[message.sender.name].heard = now
+
+    def end(self, why):
+        self.ended, self.probes = why, {}
+
+    def leave(self, now):
+        """Tells some members; the process may end once these are sent."""
+        self.out = []
+        self.me = Statement(self.me.name, self.me.address, self.me.life, self.me.turn, LEFT, self.me.name)
+        self.rumors.put(self.me)
+        names = sorted(m.name for m in self.here)
+        for name in self.chance.sample(names, min(2 * self.pace.helpers, len(names))):
+            self.send(self.members[name], Ping, self.next_number())
+        self.ended = "left"
+        return self.out
+
+    # ---- statements
+
+    def take(self, now, said):
+        """A statement from anywhere. Those that hold against what is known are taken, told and handed on."""
+        if said.name == self.me.name:
+            self.of_me(said)
+            return
+        member = self.members.get(said.name)
+        if member is None:
+            if said.state in (DEAD, LEFT):
+                member = self.members[said.name] = Member(said, now)        # against an old statement that makes it new
+                return
+            member = self.members[said.name] = Member(said, now)
+            self.round.joined(said.name)
+            self.changed(said)
+        elif said.rank > member.said.rank:
+            old, member.said = member.said, said
+            if (said.state, said.life) != (old.state, old.life):
+                member.since, member.deadline, member.doubters = now, None, set()
+                if old.state not in (ALIVE, SUSPECT) and member.here:
+                    self.back(member)
+                self.changed(said)
+        elif not (said.state == SUSPECT and said.rank == member.said.rank and said.by not in member.doubters):
+            return
+        if said.state == SUSPECT:
+            member.doubters.add(said.by)
+            member.deadline = member.since + self.pace.wait(len(self.here) + 1, len(member.doubters) - 1)
+        self.rumors.put(said)
+
+    def back(self, member):
+        """One taken for dead is there: what each side of a split has come to know is exchanged whole."""
+        self.round.joined(member.name)
+        self.put(member.address, Join, member.said.life, self.next_number(), member.name, first=False)
+
+    def of_me(self, said):
+        if said.life > self.me.life and self.joined:
+            self.end(f"a younger process has the name {self.me.name}, at {said.address}")
+        elif said.life == self.me.life and said.state != ALIVE and said.turn >= self.me.turn and self.me.state == ALIVE:
+            # turned worse by others: denied with a later turn; that it came to this tells of us
+            self.me = Statement(self.me.name, self.me.address, self.me.life, said.turn + 1, ALIVE)
+            self.health.bad()
+            self.rumors.put(self.me)
+
+    def about(self, member, state):
+        said = member.said
+        return Statement(said.name, said.address, said.life, said.turn, state, self.me.name)
+
+    def changed(self, said):
+        self.changes.append(Change(said.name, said.state, said.address))
+
+    # ---- sending
+
+    def next_number(self):
+        self.number += 1
+        return self.number
+
+    def send(self, member, kind, number, **more):
+        self.put(member.address, kind, member.said.life, number, member.name, **more)
+
+    def answer(self, message, kind, number):
+        self.put(message.sender.address, kind, message.sender.life, number, message.sender.name)
+
+    def put(self, address, kind, life, number, name, news=None, **more):
+        """`name`: to whom; what we think ill of it goes along, so that it can deny it at once."""
+        if news is None:
+            news = self.rumors.take(self.pace.news, self.pace.times(len(self.here) + 1), name)
+            member = self.members.get(name)
+            if member is not None and member.state != ALIVE and all(said.name != name for said in news):
+                news.append(member.said)
+        self.out.append((address, kind(self.cluster, VERSION, self.me, life, number, news, **more)))
--- /dev/null
+++ b/embertray/cluster/membership/member.py
@@ -0,0 +1,44 @@
+"""What is stated of a member, and which of two statements holds."""
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+Count = Annotated[int, Meta(ge=0)]
+Name = Annotated[str, Meta(min_length=1, max_length=128)]
+ALIVE, SUSPECT, DEAD, LEFT = range(4)
+WORDS = ("alive", "suspect", "dead", "left")
+
+
+class Statement(msgspec.Struct, array_like=True, frozen=True):
+    """`life`: ns by the member's own clock when it began, raised where peers remember a later one; `turn`: raised by the
+    member itself to deny what was said of it. `by`: who says so (a suspicion counts once for each)."""
+    name: Name
+    address: Name
+    life: Count
+    turn: Count
+    state: Annotated[int, Meta(ge=0, le=3)]
+    by: str = ""
+
+    @property
+    def rank(self):
+        """The later life holds, then the later turn, then the worse state: the same at every member, in any order. One that
+        left stays so until its next life."""
+        return (self.life, self.state == LEFT, self.turn, self.state)
+
+
+class Member:
+    """One member as it is known here. `since`: when its state was taken, ns; `heard`: when something last came from it."""
+
+    __slots__ = ("said", "since", "heard", "doubters", "deadline")
+
+    def __init__(self, said, now):
+        self.said, self.since, self.heard, self.doubters, self.deadline = said, now, now, set(), None
+
+    name = property(lambda self: self.said.name)
+    address = property(lambda self: self.said.address)
+    state = property(lambda self: self.said.state)
+
+    @property
+    def here(self):
+        return self.said.state in (ALIVE, SUSPECT)
