Cluster: shared entries with one owner each, merged in any order, their age bounded

Need: what processes tell each other must come out the same in any order of messages, and say how old it is, with clocks hours apart.

--- /dev/null
+++ b/embertray/cluster/state/exchange.py
@@ -0,0 +1,62 @@
+"""Whom to exchange with, and when: each period one member, each member once in a round; an exchange tells both ways.
+
+Bound: a member exchanges with each other reachable one within two rounds, so an entry is known at every reachable member within
+2 (n - 1) periods and the time of one exchange, however the rounds fall; mostly it goes on through others in about log2 n periods."""
+import msgspec
+
+from ..membership.probes import Round
+from .entry import Entry
+
+S = 10**9
+
+
+class Offer(msgspec.Struct, tag="offer", array_like=True, frozen=True):
+    """What the sender holds, by owner."""
+    digest: dict[str, tuple[int, int]]
+
+
+class Tell(msgspec.Struct, tag="tell", array_like=True, frozen=True):
+    """Entries that the other lacks, how far they take it; `back`: the sender's own digest, if it wants to be told in turn."""
+    entries: list[Entry]
+    upto: dict[str, tuple[int, int]]
+    back: dict[str, tuple[int, int]] | None
+
+
+def bound(members, period, exchange, failing=0.0):
+    """ns within which an entry is known at every reachable member. `exchange`: ns that one takes at most; `failing`: share of
+    exchanges that fail, told as the time that a member's turn has to come again."""
+    again = 1 if failing <= 0 else 1 + round(failing * 10)
+    return 2 * max(1, members - 1) * period * again + exchange
+
+
+class Exchange:
+    """Of one Book. `chance`: a seeded random.Random."""
+
+    def __init__(self, book, chance, now, period=1 * S):
+        self.book, self.period, self.round = book, period, Round(chance)
+        self.at = now + chance.randrange(period)
+
+    def next(self, now, names):
+        """Whom to make an Offer now, or None."""
+        if now < self.at:
+            return None
+        self.at = max(self.at + self.period, now)
+        return self.round.next(names)
+
+    def offer(self):
+        return Offer(self.book.digest())
+
+    def on_offer(self, now, offer):
+        entries, upto = self.book.since(now, offer.digest)
+        return Tell(entries, upto, self.book.digest())
+
+    def on_tell(self, now, tell):
+        """The answer to give, or None; and the entries that were new."""
+        before = dict(self.book.left_out)
+        new = self.book.merge(now, tell.entries)
+        full = {owner for owner, count in self.book.left_out.items() if count > before.get(owner, 0)}
+        self.book.caught_up({owner: mark for owner, mark in tell.upto.items() if owner not in full})     # the rest comes again
+        if tell.back is None:
+            return None, new
+        entries, upto = self.book.since(now, tell.back)
+        return Tell(entries, upto, None), new
