--- a/embertray/admin/http.py
+++ b/embertray/admin/http.py
@@ -1,6 +1,6 @@
 """Operators' HTTP/1.1 on loopback: readiness, metrics, tables, the channel; drain and pace. One request a connection.
 
-GET /live /ready /metrics /tables /channel /proxies /level; POST /drain, POST /pace?share=0.25 (runs the channel slower),
+GET /live /ready /metrics /tables /channel /proxies /level /cluster; POST /drain, POST /pace?share=0.25 (runs the channel slower),
 POST /set-level?pin=essential (or release=1, forbid=NAME, allow=NAME).
 """
 from urllib.parse import parse_qs, urlsplit
@@ -94,6 +94,12 @@
                  "save_fails": service.counted["save_fails"]})
 
 
+def cluster(service, _):
+    if service.cluster is None:
+        return text("no cluster: the site has no <cluster>\n", 404)
+    return json(service.cluster.status())
+
+
 def metrics(service, _):
     """Prometheus' text format."""
     it, rows = service.instance, []
@@ -131,6 +137,17 @@
         row(f"{name}_total", "counter", count)
     for code, count in sorted(service.faults.items()):
         row("faults_total", "counter", count, f'{{code="{code}"}}')
+    if service.cluster is not None:
+        told = service.cluster.status()
+        for state in ("alive", "suspect", "dead", "left"):
+            row("cluster_members", "gauge", sum(m["state"] == state for m in told["members"]), f'{{state="{state}"}}')
+        for member in told["members"]:
+            if member["told_s"] is not None:
+                row("cluster_told_age_seconds", "gauge", member["told_s"], f'{{member="{member["name"]}"}}')
+        for key in ("bound_s", "cut_off", "health", "state_bytes", "left_out"):
+            row(f"cluster_{key}", "gauge", float(told[key]))
+        for key in ("sent", "received", "bytes_sent", "unreadable", "exchanges", "exchanges_failed", "state_held_back"):
+            row(f"cluster_{key}_total", "counter", told[key])
     return text("\n".join(rows) + "\n")
 
 
@@ -193,4 +210,5 @@
 
 ROUTES = {"/live": ("GET", lambda *_: text("live\n")), "/ready": ("GET", ready), "/metrics": ("GET", metrics), "/memory": ("GET", memory),
           "/tables": ("GET", tables), "/start": ("GET", start), "/channel": ("GET", channel), "/proxies": ("GET", proxies),
-          "/drain": ("POST", drain), "/pace": ("POST", pace), "/level": ("GET", level), "/set-level": ("POST", set_level)}
+          "/drain": ("POST", drain), "/pace": ("POST", pace), "/level": ("GET", level), "/set-level": ("POST", set_level),
+          "/cluster": ("GET", cluster)}
--- /dev/null
+++ b/embertray/cluster/link/link.py
@@ -0,0 +1,184 @@
+"""One member's sockets round Membership, Book and Exchange; nothing is decided here. No peer's message ends more than itself."""
+import random
+import socket
+
+import anyio
+import msgspec
+import structlog
+
+from ...net.address import BadAddress, loopback
+from ...stream.frames import BadFrame, Splitter, frame
+from ..membership import Membership, Pace
+from ..membership.messages import Unreadable, decode, encode
+from ..state import Book, Exchange, Full
+from ..state.exchange import Offer, Tell, bound
+from .allowance import Allowance
+
+S = 10**9
+BROKEN = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+EXCHANGE_WITHIN = 2 * S         # ns; one that takes longer is given up: its member's turn comes again
+FACTS_EVERY = 1 * S             # ns between two tellings of our own facts
+LEAVE_WITHIN = S // 2           # ns that an end waits for the last words
+WAIT_MOST = S // 2              # ns that the timer sleeps at most: a clock that jumps is seen soon
+
+pack = msgspec.msgpack.Encoder().encode
+unpack = msgspec.msgpack.Decoder(Offer | Tell).decode
+
+
+class ClusterLink:
+    """`me`: the controller's entry in the site; `told`: the site's Cluster; `facts()`: key -> bytes, what we tell of ourselves."""
+
+    def __init__(self, told, me, peers, clock, seed, facts, log=None):
+        self.told, self.me, self.clock, self.facts = told, me, clock, facts
+        self.log = (log or structlog.get_logger()).bind(member=me.name)
+        chance, now, wall = random.Random(f"{seed} {me.name} {clock.wall()}"), clock.now(), clock.wall()
+        pace = Pace(period=told.period, answer=told.period * 3 // 10, beckon=5 * told.period)
+        self.membership = Membership(told.name, me.name, me.cluster, wall, now, chance, peers, pace)
+        self.book = Book(me.name, wall, told.state)
+        self.exchange = Exchange(self.book, chance, now, told.period)
+        self.allowance, self.poked, self.udp, self.out = Allowance(told.rate, now), anyio.Event(), None, []
+        self.gone = anyio.Event()
+        self.counted = dict.fromkeys(("sent", "received", "bytes_sent", "unreadable", "exchanges", "exchanges_failed"), 0)
+
+    # ---- what operators see
+
+    def status(self):
+        now, members = self.clock.now(), self.membership
+        words = ("alive", "suspect", "dead", "left")
+        rows = [{"name": m.name, "address": m.address, "state": words[m.state], "heard_s": round((now - m.heard) / S, 2),
+                 "told_s": min((round(k.age / S, 2) for k in self.book.freshest(now, "facts") if k.owner == m.name), default=None)}
+                for m in sorted(members.members.values(), key=lambda m: m.name)]
+        return {"cluster": self.told.name, "me": members.me.name, "life": members.me.life, "joined": members.joined,
+                "cut_off": members.cut_off(now), "health": members.health.steps, "ended": members.ended, "members": rows,
+                "bound_s": round(bound(len(members.here) + 1, self.told.period, EXCHANGE_WITHIN) / S, 2),
+                "state_bytes": self.book.bytes, "state_cap": self.book.cap, "left_out": sum(self.book.left_out.values()),
+                "refused": [{"why": why, "address": at, "times": n} for (why, at), n in members.refused.most_common(16)],
+                "state_held_back": self.allowance.held_back, **self.counted}
+
+    # ---- tasks
+
+    async def run(self):
+        """Until cancelled, or until another process has our name: then it returns why. Raises OSError if the address is taken."""
+        host, port = loopback(self.me.cluster)
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        async with listener, await anyio.create_udp_socket(family=socket.AF_INET, local_host=host, local_port=port) as self.udp:
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, self.serve)
+                group.start_soon(self.listen)
+                group.start_soon(self.trade)
+                await self.pump()
+                group.cancel_scope.cancel()
+        self.gone.set()
+        return self.membership.ended
+
+    async def leave(self):
+        """Tells some members that we go; at once, or not at all."""
+        self.out += self.membership.leave(self.clock.now())
+        self.poked.set()
+        with anyio.move_on_after(LEAVE_WITHIN / S, shield=True):
+            await self.gone.wait()
+
+    async def pump(self):
+        while not self.membership.ended:
+            self.poked = anyio.Event()
+            now = self.clock.now()
+            self.out += self.membership.advance(now)
+            await self.send()
+            self.changed(now)
+            wait = min(WAIT_MOST, max(0, self.membership.next_at() - self.clock.now()))
+            with anyio.move_on_after(wait / S):
+                await self.poked.wait()
+        await self.send()                   # the last words
+
+    def changed(self, now):
+        words, changes = ("alive", "suspect", "dead", "left"), self.membership.changes
+        for change in changes:
+            self.log.info("member", name=change.name, state=words[change.state], address=change.address)
+        changes.clear()
+        self.book.owners(now, {m.name for m in self.membership.members.values() if not m.here})
+        if self.membership.me.life != self.book.life:
+            self.book.reborn(self.membership.me.life)
+
+    async def send(self):
+        """What is due, by the pump alone: the socket has one writer."""
+        out, self.out = self.out, []
+        for address, message in out:
+            data = encode(message)
+            self.counted["sent"] += 1
+            self.counted["bytes_sent"] += len(data)
+            try:
+                await self.udp.sendto(data, *loopback(address))
+            except (OSError, BadAddress, anyio.ClosedResourceError):
+                pass                        # as good as lost on the way
+
+    async def listen(self):
+        async for data, (host, port) in self.udp:
+            self.counted["received"] += 1
+            try:
+                message = decode(data)
+            except Unreadable:
+                self.counted["unreadable"] += 1
+                continue
+            self.out += self.membership.receive(self.clock.now(), f"{host}:{port}", message)
+            self.poked.set()
+
+    # ---- state
+
+    async def trade(self):
+        """Our facts are told anew, and each period one member is exchanged with."""
+        facts_at = 0
+        while True:
+            now = self.clock.now()
+            if now >= facts_at:
+                facts_at = now + FACTS_EVERY
+                for key, value in self.facts().items():
+                    try:
+                        self.book.put(now, key, value)
+                    except Full as wrong:
+                        self.log.warning("not told to the others", why=str(wrong))
+            here = {m.name: m.address for m in self.membership.here}
+            if (name := self.exchange.next(now, here)) is not None and self.allowance.may(now):
+                self.counted["exchanges"] += 1
+                with anyio.move_on_after(EXCHANGE_WITHIN / S) as scope:
+                    try:
+                        await self.with_one(here[name])
+                    except (*BROKEN, BadFrame, BadAddress, msgspec.DecodeError):
+                        self.counted["exchanges_failed"] += 1
+                self.counted["exchanges_failed"] += scope.cancelled_caught
+            await self.clock.sleep_until(max(self.clock.now() + self.told.period // 20, min(self.exchange.at, facts_at)))
+
+    async def with_one(self, address):
+        host, port = loopback(address)
+        async with await anyio.connect_tcp(host, port) as stream:
+            await self.say(stream, self.exchange.offer())
+            answer, _ = self.exchange.on_tell(self.clock.now(), await self.next(stream, Splitter(), Tell))
+            if answer is not None:
+                await self.say(stream, answer)
+
+    async def serve(self, stream):
+        """The other end of `with_one`."""
+        try:
+            async with stream:
+                with anyio.move_on_after(EXCHANGE_WITHIN / S):
+                    splitter = Splitter()
+                    offer = await self.next(stream, splitter, Offer)
+                    await self.say(stream, self.exchange.on_offer(self.clock.now(), offer))
+                    self.exchange.on_tell(self.clock.now(), await self.next(stream, splitter, Tell))
+        except (*BROKEN, BadFrame, msgspec.DecodeError) as wrong:
+            self.log.debug("exchange broke", why=str(wrong) or type(wrong).__name__)
+
+    async def say(self, stream, message):
+        data = frame(pack(message))
+        self.allowance.spend(len(data))
+        self.counted["bytes_sent"] += len(data)
+        await stream.send(data)
+
+    @staticmethod
+    async def next(stream, splitter, kind):
+        """The next message, which has to be of this kind. Raises BadFrame, msgspec.DecodeError."""
+        while not (found := splitter.feed(await stream.receive())):
+            pass
+        message = unpack(found[0])
+        if not isinstance(message, kind):
+            raise BadFrame("order", f"{type(message).__name__} where {kind.__name__} is due")
+        return message
--- a/embertray/daemon/service.py
+++ b/embertray/daemon/service.py
@@ -5,6 +5,7 @@
 and inventory/follow.py.
 """
 import anyio
+import msgspec
 import structlog
 from anyio.abc import TaskStatus
 
@@ -34,7 +35,7 @@
         self.make, self.desk, self.instance, self.trust, self.admission = (core, trust), *[None] * 4
         self.counted = dict.fromkeys(("joins", "leaves", "cuts", "refused", "messages", "list_news", "list_breaks", "saves",
                                       "save_fails"), 0)
-        self.faults = {}
+        self.faults, self.cluster = {}, None
 
     @property
     def streams(self):
@@ -67,11 +68,15 @@
                 group.start_soon(admin.serve, lambda stream: serve_admin(self, stream), group)
                 group.start_soon(self.list.run)
                 group.start_soon(self.keeper.run)
+                if self.site.cluster:
+                    group.start_soon(self.clustered)
                 for warning in budget(self.site).warnings:
                     self.log.warning("the channel is short", why=warning)
                 self.log.info("listening", listen=self.listen, admin=self.admin)
                 task_status.started((self.listen, self.admin))
                 await self.stopping.wait()
+                if self.cluster and not self.cluster.membership.ended:
+                    await self.cluster.leave()
                 self.log.info("stopping", streams=len(self.streams))
                 group.cancel_scope.cancel()
         finally:
@@ -83,6 +88,28 @@
     def stop(self):
         self.stopping.set()
 
+    async def clustered(self):
+        """The cluster's task: it ends the process when a younger one has our name, and nothing else of ours when it fails."""
+        from ..cluster.link import ClusterLink
+        peers = [at.cluster for at in self.site.controllers if at.name != self.me.name]
+        self.cluster = ClusterLink(self.site.cluster, self.me, peers, self.clock, self.seed, self.facts, self.log)
+        try:
+            why = await self.cluster.run()
+        except OSError as wrong:
+            self.log.error("the cluster's address can't be used; this process goes on alone", why=str(wrong))
+            return
+        except Exception as wrong:          # against a fault of the cluster's: proxies are served without it, too
+            self.log.error("the cluster failed; this process goes on alone", exc_info=wrong)
+            return
+        if not self.stopping.is_set():
+            self.log.error("ended", why=why)
+            self.stop()
+
+    def facts(self):
+        """What the others are told of us: key -> bytes."""
+        return {"facts": msgspec.json.encode({"proxies": len(self.streams), "list": self.trust.epoch,
+                                              "draining": self.admission.draining is not None})}
+
     # ---- core
 
     def poke(self):
--- /dev/null
+++ b/embertray/measure/wounds.py
@@ -0,0 +1,88 @@
+"""`python -m embertray.measure.wounds`: true processes on loopback with the rig's links between them; kills, stops and splits, one after the
+other. Times in periods (the table) from the wound until every process says what holds, and from its end until all are alive at all again;
+the greatest age of what is told, against the bound, looked at after each. Prints a Markdown table."""
+import signal
+import tempfile
+import time
+
+import anyio
+import click
+
+from ..rig.processes import PERIOD, Rigged
+
+
+def kill(site, n):
+    name = site.names[n % len(site.names)]
+    site.kill(name)
+    yield lambda: site.all_see(**{name: "dead"})
+    site.up(name)
+
+
+def stop(site, n):
+    name = site.names[n % len(site.names)]
+    site.signal(name, signal.SIGSTOP)
+    site.running["stopped"] = site.running.pop(name)
+    yield lambda: site.all_see(**{name: "dead"})
+    site.signal("stopped", signal.SIGCONT)
+    site.running[name] = site.running.pop("stopped")
+
+
+def split(site, n):
+    half = len(site.names) // 2
+    order = site.names[n % len(site.names):] + site.names[:n % len(site.names)]
+    one, other = order[:half], order[half:]
+    site.ways.split(one, other)
+    yield lambda: all(site.states(name) == {m: "alive" if (m in one) == (name in one) else "dead" for m in site.names if m != name}
+                      for name in site.names)
+    site.ways.heal()
+
+
+def play(site, wound, times):
+    """[(s to be seen by all, s to be whole again)], greatest age over the bound's share."""
+    alive, rows, worst = dict.fromkeys(site.names, "alive"), [], 0.0
+    site.wait(lambda: site.all_see(**alive), "all know all")
+    for n in range(times):
+        steps = wound(site, n)
+        seen = site.wait(next(steps), f"{wound.__name__} {n} is seen by all", 60)
+        next(steps, None)
+        began = time.monotonic()
+        site.wait(lambda: site.all_see(**alive), "all are alive at all", 60)
+        rows.append((seen, time.monotonic() - began))
+        site.wait(site.fresh, "what each told is within the bound", site.bound() + 10)
+        age, bound = site.oldest(5)
+        worst = max(worst, age / bound)
+    return rows, worst
+
+
+@click.command()
+@click.option("--members", default=4, show_default=True)
+@click.option("--times", default=50, show_default=True)
+@click.option("--wound", "only", type=click.Choice(["kill", "stop", "split"]), multiple=True, default=["kill", "stop", "split"])
+def main(members, times, only):
+    click.echo("| wound | times | seen by all: p50 | p99 | max | whole again: p50 | p99 | max | greatest age of the bound |")
+    click.echo("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    for name in only:
+        with tempfile.TemporaryDirectory() as folder:
+            site, found = Rigged(folder, members), []
+
+            async def run():
+                async with anyio.create_task_group() as group:
+                    await group.start(site.ways.run)
+                    for one in site.names:
+                        site.up(one)
+                    found.append(await anyio.to_thread.run_sync(play, site, {"kill": kill, "stop": stop, "split": split}[name], times))
+                    group.cancel_scope.cancel()
+            try:
+                anyio.run(run)
+            finally:
+                site.end()
+        rows, worst = found[0]
+
+        def at(part, column):
+            ranked = sorted(row[column] for row in rows)
+            return f"{ranked[min(len(ranked) - 1, int(part * len(ranked)))] * 1000 / PERIOD:.1f}"
+        click.echo(f"| {name} | {len(rows)} | " + " | ".join(at(p, c) for c in (0, 1) for p in (0.5, 0.99, 1.0)) + f" | {worst:.2f} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/embertray/site/site.py
+++ b/embertray/site/site.py
@@ -24,6 +24,16 @@
     zone: str
     listen: str
     admin: str
+    cluster: str = ""           # where other controllers reach it, if the site has a cluster
+
+
+@dataclass(frozen=True)
+class Cluster:
+    """What the site says of its cluster: ns between two probes, bytes of shared state, bytes a second for it."""
+    name: str
+    period: int
+    state: int
+    rate: int
 
 
 @dataclass(frozen=True, eq=False)
@@ -68,6 +78,7 @@
     controllers: tuple
     backends: int = 64
     caps: dict = field(default_factory=dict)        # purpose -> bytes, where the description says
+    cluster: Cluster | None = None
 
     def controller(self, name):
         """Raises BadSite for a name that is not there."""
@@ -153,14 +164,24 @@
         raise BadSite(f"{path}:{channel_at.sourceline}: channel: lines-per-second must be over 0")
     controllers, taken = [], {}
     for element in root.find("controllers"):
-        controllers.append(ControllerAt(*(element.get(k) for k in ("name", "zone", "listen", "admin"))))
-        for key in ("listen", "admin"):
-            address = element.get(key)
+        controllers.append(ControllerAt(*(element.get(k, "") for k in ("name", "zone", "listen", "admin", "cluster"))))
+        for key in ("listen", "admin", "cluster"):
+            if not (address := element.get(key, "")):
+                continue
             check(path, element, address)
             if not address.endswith(":0") and address in taken:
                 raise BadSite(f"{path}:{element.sourceline}: {address} is taken by line {taken[address]} already")
             taken[address] = element.sourceline
     check(path, at, inventory["address"])
+    cluster = None
+    if (clustered := root.find("cluster")) is not None:
+        got = {**defaults["cluster"], **clustered.attrib}
+        cluster = Cluster(root.get("name"), time(got["period"]), size(got["state"]), size(got["bytes-per-second"]))
+        if cluster.period < 50 * 10**6:
+            raise BadSite(f"{path}:{clustered.sourceline}: cluster: a period of 50ms at least is expected")
+        for one, element in zip(controllers, root.find("controllers")):
+            if not one.cluster or one.cluster.endswith(":0"):
+                raise BadSite(f"{path}:{element.sourceline}: controller {one.name}: a cluster needs its address, with a port that others know")
     return Site(
         root.get("name"), time(root.get("tick", "5ms")), tuple(z.get("name") for z in root.find("zones")),
         tuple(kinds), late, windows, int(px["expected"]), px["picks"], px["levels"], int(px["standing"]),
@@ -171,7 +192,8 @@
         float(be["fall-multiple"]), time(be["fall-after"]), time(be["drain-grace"]), true(be["dropped-bind"]),
         true(be["full-may-have-run"]), true(be["probes"]), float(be["cross-zone-cost"]), inventory["address"],
         inventory["mode"] == "ask", time(inventory["ask-within"]), inventory["keep"], tuple(controllers),
-        int(be["expected"]), {cap.get("purpose"): size(cap.get("bytes")) for cap in root.iterfind("memory/cap")})
+        int(be["expected"]), {cap.get("purpose"): size(cap.get("bytes")) for cap in root.iterfind("memory/cap")},
+        cluster)
 
 
 def check(path, element, address):
