--- a/embertray/rig/processes.py
+++ b/embertray/rig/processes.py
@@ -12,7 +12,8 @@
 from lxml import etree
 
 from ..site.site import HERE as SITES
-from .ways import Ways, free_ports
+from .ports import free_ports
+from .ways import Ways
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 SAMPLE = SITES / "samples" / "pushed.xml"
@@ -74,6 +75,9 @@
         """s until it holds."""
         began = time.monotonic()
         while time.monotonic() < began + most:
+            ended = [name for name, process in self.running.items() if process.poll() is not None]
+            if ended:
+                raise AssertionError(f"{ended[0]} has ended: " + (self.folder / f"{ended[0]}.log").read_text()[-300:])
             if wanted():
                 return time.monotonic() - began
             time.sleep(0.02)            # between two looks; what is looked at decides
--- a/embertray/rig/ways.py
+++ b/embertray/rig/ways.py
@@ -10,24 +10,13 @@
 import msgspec
 
 from ..cluster.membership.messages import Help, Unreadable, decode, encode
+from .ports import free_ports
 from .way import Way
 
 BROKEN = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.BusyResourceError)
 LOOK = 0.02             # s between two looks at a closed link by a stream that waits on it
 
 
-def free_ports(count):
-    """Ports of loopback that nobody listens on now, for UDP and TCP."""
-    held = [socket.socket() for _ in range(count)]
-    try:
-        for one in held:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in held]
-    finally:
-        for one in held:
-            one.close()
-
-
 class Ways:
     """`at`: name -> the true port of each member. `port(a, b)` is where a reaches b; `way(a, b)` is what lies between."""
 
--- a/tests/test_cluster_processes.py
+++ b/tests/test_cluster_processes.py
@@ -11,7 +11,7 @@
 
 from embertray.cluster.membership import Pace
 from embertray.rig.processes import MOST, PERIOD, ROOT, Members
-from embertray.rig.ways import free_ports
+from embertray.rig.ports import free_ports
 
 
 class Held(unittest.TestCase):
