--- a/embertray/choice/channel.py
+++ b/embertray/choice/channel.py
@@ -42,7 +42,7 @@
         self.out[be], self.urgent = self.now, True
 
     def on_send(self, levels):
-        """One message a proxy; by rank: removals, binds, then (at beats, with levels) cuts, repeats, weights."""
+        """A message a proxy, by rank: removals, binds; then at beats, with levels, cuts, repeats, weights."""
         hub, now, binds, joined = self.hub, self.now, [], [px for px in self.hub.pxs if px.joined]
         self.levels, self.lines, self.urgent, self.sets, self.booked = levels or self.levels, {}, False, [], 0
         self.out = {be: at for be, at in self.out.items() if be.state != "ready"}
@@ -67,8 +67,8 @@
             self.put(tab, cuts[:self.fits(users[tab], len(cuts), c.URGENT if thin else c.HASTY, 1)])
             if rides or not self.out:
                 self.put_levels(tab, users[tab], c.URGENT if rides else c.HASTY)
-        due = [tab for tab, at in self.queue.items() if levels and now >= at and not (self.out and users[tab])]
-        for tab in due:
+        due = [tab for tab, at in self.queue.items() if levels and now >= at]
+        for tab in [tab for tab in due if not (self.out and users[tab])]:
             self.push(tab, users[tab], binds)
         for px, tab in binds:
             px.table = tab
--- /dev/null
+++ b/embertray/cli/cluster.py
@@ -0,0 +1,41 @@
+"""`embertray cluster`: what a running controller knows of the others."""
+import json
+
+import anyio
+import click
+import h11
+
+from ..net.address import BadAddress
+from .operators import asked
+from .standin import Bad
+
+
+@click.group()
+def cluster():
+    """What running controllers know of each other."""
+
+
+@cluster.command(name="status")
+@click.option("--admin", required=True, help="A running controller's operators' address.")
+@click.option("--json", "as_json", is_flag=True)
+def cluster_status(admin, as_json):
+    """Each member's state, the age of what it told, the bound now, and whether this process believes itself cut off."""
+    try:
+        code, said = anyio.run(asked, admin, "GET", "/cluster")
+        if code != 200:
+            raise Bad(said.decode().strip())
+        told = json.loads(said)
+    except (OSError, BadAddress, ValueError, h11.RemoteProtocolError) as wrong:
+        raise Bad(f"{admin}: {wrong or type(wrong).__name__}") from None
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    click.echo(f"{told['me']} in {told['cluster']}: {'joined' if told['joined'] else 'joining'}"
+               + (", BELIEVES ITSELF CUT OFF" if told["cut_off"] else "") + (f", ended: {told['ended']}" if told["ended"] else ""))
+    click.echo(f"an entry is known everywhere within {told['bound_s']} s; state {told['state_bytes']} of {told['state_cap']} bytes, "
+               f"{told['left_out']} left out; own slowness {told['health']}")
+    for member in told["members"]:
+        age = "nothing told" if member["told_s"] is None else f"told {member['told_s']:.1f} s ago"
+        click.echo(f"  {member['name']:16} {member['state']:8} {member['address']:22} heard {member['heard_s']:.1f} s ago, {age}")
+    for one in told["refused"]:
+        click.echo(f"  refused {one['times']} from {one['address']}: {one['why']}")
--- a/embertray/cli/main.py
+++ b/embertray/cli/main.py
@@ -8,18 +8,18 @@
 import click
 import h11
 
-from ..admin.ask import ask
 from ..channel.budget import budget
 from ..days import notation, player
 from ..emulator.play import play as play_emulated
 from ..memory.caps import COLLECT
 from ..model.chance import Streams
 from ..net.address import BadAddress
-from ..net.tcp import TcpNet
 from ..site import BadSite, load as load_site
 from . import logs
+from .cluster import cluster
 from .emulate import emulate
 from .lab import lab
+from .operators import asked, page
 from .standin import Bad, stand_in
 
 
@@ -35,6 +35,7 @@
 main.add_command(stand_in)
 main.add_command(emulate)
 main.add_command(lab)
+main.add_command(cluster)
 
 
 @main.command()
@@ -149,49 +150,6 @@
         click.echo(f"forbidden: {', '.join(told['forbidden'])}")
 
 
-@main.group()
-def cluster():
-    """What running controllers know of each other."""
-
-
-@cluster.command(name="status")
-@click.option("--admin", required=True, help="A running controller's operators' address.")
-@click.option("--json", "as_json", is_flag=True)
-def cluster_status(admin, as_json):
-    """Each member's state, the age of what it told, the bound now, and whether this process believes itself cut off."""
-    try:
-        code, said = anyio.run(asked, admin, "GET", "/cluster")
-        if code != 200:
-            raise Bad(said.decode().strip())
-        told = json.loads(said)
-    except (OSError, BadAddress, ValueError, h11.RemoteProtocolError) as wrong:
-        raise Bad(f"{admin}: {wrong or type(wrong).__name__}") from None
-    if as_json:
-        click.echo(json.dumps(told))
-        return
-    click.echo(f"{told['me']} in {told['cluster']}: {'joined' if told['joined'] else 'joining'}"
-               + (", BELIEVES ITSELF CUT OFF" if told["cut_off"] else "") + (f", ended: {told['ended']}" if told["ended"] else ""))
-    click.echo(f"an entry is known everywhere within {told['bound_s']} s; state {told['state_bytes']} of {told['state_cap']} bytes, "
-               f"{told['left_out']} left out; own slowness {told['health']}")
-    for member in told["members"]:
-        age = "nothing told" if member["told_s"] is None else f"told {member['told_s']:.1f} s ago"
-        click.echo(f"  {member['name']:16} {member['state']:8} {member['address']:22} heard {member['heard_s']:.1f} s ago, {age}")
-    for one in told["refused"]:
-        click.echo(f"  refused {one['times']} from {one['address']}: {one['why']}")
-
-
-async def asked(address, method, path):
-    """(status, body) of one request at the operators' door."""
-    with anyio.fail_after(5):
-        return await ask(TcpNet(), address, method, path)
-
-
-async def page(address, path):
-    """The body of one operators' page."""
-    with anyio.fail_after(5):
-        return (await ask(TcpNet(), address, "GET", path))[1]
-
-
 @main.command()
 def days():
     """List the days that come with the program."""
--- /dev/null
+++ b/embertray/cli/operators.py
@@ -0,0 +1,17 @@
+"""Requests at a running controller's operators' door, for the commands that show what it says."""
+import anyio
+
+from ..admin.ask import ask
+from ..net.tcp import TcpNet
+
+
+async def asked(address, method, path):
+    """(status, body) of one request at the operators' door."""
+    with anyio.fail_after(5):
+        return await ask(TcpNet(), address, method, path)
+
+
+async def page(address, path):
+    """The body of one operators' page."""
+    with anyio.fail_after(5):
+        return (await ask(TcpNet(), address, "GET", path))[1]
--- a/embertray/cluster/membership/core.py
+++ b/embertray/cluster/membership/core.py
@@ -1,17 +1,16 @@
 """The detector: SWIM's probes through helpers and suspicions, Lifeguard's local health, lives for names that come again."""
-from collections import Counter, namedtuple
+from collections import Counter
 
 from .health import Health
-from .member import ALIVE, DEAD, LEFT, SUSPECT, Member, Statement
+from .member import ALIVE, DEAD, LEFT, SUSPECT, Statement
 from .messages import VERSION, Ack, All, Help, Join, Nack, Ping
 from .pace import Pace
 from .probes import Probe, Round
 from .rumors import Rumors
+from .statements import Statements
 
-Change = namedtuple("Change", "name state address")         # told once for each change of a member, in order
 
-
-class Membership:
+class Membership(Statements):
     """One process. `wall`: ns by its own wall clock, which makes its life; `chance`: a seeded random.Random. Hand in what came
     (`receive`) and the time (`advance`, at `next_at` at the latest); both give [(address, message)] to send. `changes` and
     `refused` are to be read; `ended` says why this process has to end, if it has to."""
@@ -225,74 +224,3 @@
             self.send(self.members[name], Ping, self.next_number())
         self.ended = "left"
         return self.out
-
-    # ---- statements
-
-    def take(self, now, said):
-        """A statement from anywhere. Those that hold against what is known are taken, told and handed on."""
-        if said.name == self.me.name:
-            self.of_me(said)
-            return
-        member = self.members.get(said.name)
-        if member is None:
-            if said.state in (DEAD, LEFT):
-                member = self.members[said.name] = Member(said, now)        # against an old statement that makes it new
-                return
-            member = self.members[said.name] = Member(said, now)
-            self.round.joined(said.name)
-            self.changed(said)
-        elif said.rank > member.said.rank:
-            old, member.said = member.said, said
-            if (said.state, said.life) != (old.state, old.life):
-                member.since, member.deadline, member.doubters = now, None, set()
-                if old.state not in (ALIVE, SUSPECT) and member.here:
-                    self.back(member)
-                self.changed(said)
-        elif not (said.state == SUSPECT and said.rank == member.said.rank and said.by not in member.doubters):
-            return
-        if said.state == SUSPECT:
-            member.doubters.add(said.by)
-            member.deadline = member.since + self.pace.wait(len(self.here) + 1, len(member.doubters) - 1)
-        self.rumors.put(said)
-
-    def back(self, member):
-        """One taken for dead is there: what each side of a split has come to know is exchanged whole."""
-        self.round.joined(member.name)
-        self.put(member.address, Join, member.said.life, self.next_number(), member.name, first=False)
-
-    def of_me(self, said):
-        if said.life > self.me.life and self.joined:
-            self.end(f"a younger process has the name {self.me.name}, at {said.address}")
-        elif said.life == self.me.life and said.state != ALIVE and said.turn >= self.me.turn and self.me.state == ALIVE:
-            # turned worse by others: denied with a later turn; that it came to this tells of us
-            self.me = Statement(self.me.name, self.me.address, self.me.life, said.turn + 1, ALIVE)
-            self.health.bad()
-            self.rumors.put(self.me)
-
-    def about(self, member, state):
-        said = member.said
-        return Statement(said.name, said.address, said.life, said.turn, state, self.me.name)
-
-    def changed(self, said):
-        self.changes.append(Change(said.name, said.state, said.address))
-
-    # ---- sending
-
-    def next_number(self):
-        self.number += 1
-        return self.number
-
-    def send(self, member, kind, number, **more):
-        self.put(member.address, kind, member.said.life, number, member.name, **more)
-
-    def answer(self, message, kind, number):
-        self.put(message.sender.address, kind, message.sender.life, number, message.sender.name)
-
-    def put(self, address, kind, life, number, name, news=None, **more):
-        """`name`: to whom; what we think ill of it goes along, so that it can deny it at once."""
-        if news is None:
-            news = self.rumors.take(self.pace.news, self.pace.times(len(self.here) + 1), name)
-            member = self.members.get(name)
-            if member is not None and member.state != ALIVE and all(said.name != name for said in news):
-                news.append(member.said)
-        self.out.append((address, kind(self.cluster, VERSION, self.me, life, number, news, **more)))
--- /dev/null
+++ b/embertray/cluster/membership/outbox.py
@@ -0,0 +1,26 @@
+"""Messages on their way out, with what is to be handed on."""
+from .member import ALIVE
+from .messages import VERSION
+
+
+class Outbox:
+    """For one who has `cluster`, `me`, `pace`, `members`, `here`, `rumors`, `number` and a list `out`."""
+
+    def next_number(self):
+        self.number += 1
+        return self.number
+
+    def send(self, member, kind, number, **more):
+        self.put(member.address, kind, member.said.life, number, member.name, **more)
+
+    def answer(self, message, kind, number):
+        self.put(message.sender.address, kind, message.sender.life, number, message.sender.name)
+
+    def put(self, address, kind, life, number, name, news=None, **more):
+        """`name`: to whom; what we think ill of it goes along, so that it can deny it at once."""
+        if news is None:
+            news = self.rumors.take(self.pace.news, self.pace.times(len(self.here) + 1), name)
+            member = self.members.get(name)
+            if member is not None and member.state != ALIVE and all(said.name != name for said in news):
+                news.append(member.said)
+        self.out.append((address, kind(self.cluster, VERSION, self.me, life, number, news, **more)))
--- /dev/null
+++ b/embertray/cluster/membership/statements.py
@@ -0,0 +1,60 @@
+"""What is stated of members: which statements hold, what follows for a member, and for us."""
+from collections import namedtuple
+
+from .member import ALIVE, DEAD, LEFT, SUSPECT, Member, Statement
+from .messages import Join
+from .outbox import Outbox
+
+Change = namedtuple("Change", "name state address")         # told once for each change of a member, in order
+
+
+class Statements(Outbox):
+    """Also has `round`, `health`, `changes`, `joined`, and `end(why)`."""
+
+    def take(self, now, said):
+        """A statement from anywhere. Those that hold against what is known are taken, told and handed on."""
+        if said.name == self.me.name:
+            self.of_me(said)
+            return
+        member = self.members.get(said.name)
+        if member is None:
+            if said.state in (DEAD, LEFT):
+                member = self.members[said.name] = Member(said, now)        # against an old statement that makes it new
+                return
+            member = self.members[said.name] = Member(said, now)
+            self.round.joined(said.name)
+            self.changed(said)
+        elif said.rank > member.said.rank:
+            old, member.said = member.said, said
+            if (said.state, said.life) != (old.state, old.life):
+                member.since, member.deadline, member.doubters = now, None, set()
+                if old.state not in (ALIVE, SUSPECT) and member.here:
+                    self.back(member)
+                self.changed(said)
+        elif not (said.state == SUSPECT and said.rank == member.said.rank and said.by not in member.doubters):
+            return
+        if said.state == SUSPECT:
+            member.doubters.add(said.by)
+            member.deadline = member.since + self.pace.wait(len(self.here) + 1, len(member.doubters) - 1)
+        self.rumors.put(said)
+
+    def back(self, member):
+        """One taken for dead is there: what each side of a split has come to know is exchanged whole."""
+        self.round.joined(member.name)
+        self.put(member.address, Join, member.said.life, self.next_number(), member.name, first=False)
+
+    def of_me(self, said):
+        if said.life > self.me.life and self.joined:
+            self.end(f"a younger process has the name {self.me.name}, at {said.address}")
+        elif said.life == self.me.life and said.state != ALIVE and said.turn >= self.me.turn and self.me.state == ALIVE:
+            # turned worse by others: denied with a later turn; that it came to this tells of us
+            self.me = Statement(self.me.name, self.me.address, self.me.life, said.turn + 1, ALIVE)
+            self.health.bad()
+            self.rumors.put(self.me)
+
+    def about(self, member, state):
+        said = member.said
+        return Statement(said.name, said.address, said.life, said.turn, state, self.me.name)
+
+    def changed(self, said):
+        self.changes.append(Change(said.name, said.state, said.address))
--- a/embertray/emulator/detectors.py
+++ b/embertray/emulator/detectors.py
@@ -2,7 +2,7 @@
 from collections import Counter, deque
 from math import erfc, log10, sqrt
 
-from ..cluster.membership.core import Change
+from ..cluster.membership.statements import Change
 from ..cluster.membership.member import ALIVE, DEAD, Member, Statement
 from ..cluster.membership.messages import VERSION, Ping
 
--- a/tests/test_cluster_processes.py
+++ b/tests/test_cluster_processes.py
@@ -37,6 +37,9 @@
         site.wait(lambda: site.all_see(**alive), "all know all")
         site.wait(site.fresh, "each told each its facts")
         self.assertLessEqual(*site.oldest())
+        shown = subprocess.run([sys.executable, "-m", "embertray", "cluster", "status", "--admin", site.admin["c1"]], cwd=ROOT,
+                               capture_output=True, text=True).stdout
+        self.assertEqual([line.split()[:2] for line in shown.splitlines()[2:]], [["c2", "alive"], ["c3", "alive"], ["c4", "alive"]])
 
         pace = Pace(period=PERIOD * 10**6)
         most = (2 * 3 * pace.period + pace.wait(4, 0) + 8 * pace.period) / 1e9      # the stated bound for four members
--- a/tests/test_recorded.py
+++ b/tests/test_recorded.py
@@ -1,5 +1,6 @@
 """The module on recorded streams of events: a change that must decide nothing else gives the same orders to the byte. Where
 decisions are changed on purpose, the streams are recorded anew (python -m embertray.measure.recorded record)."""
+import tomllib
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -10,6 +11,16 @@
 STREAMS = Path(__file__).resolve().parent / "streams"
 
 
+class Policy(unittest.TestCase):
+    def test_the_decision_files_keep_their_limits(self):
+        root = Path(__file__).resolve().parent.parent
+        files = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["policy"]
+        self.assertEqual(sorted(files), sorted(str(path.relative_to(root)) for path in (root / "embertray" / "choice").glob("*.py")))
+        rows = [row for name in files for row in (root / name).read_text().splitlines()]
+        self.assertLessEqual(sum(bool(row.strip()) for row in rows), 630)
+        self.assertLessEqual(max(map(len, rows)), 110)
+
+
 class Recorded(unittest.TestCase):
     def test_orders_are_the_recorded_ones(self):
         steps = 0
