--- a/embertray/cluster/membership/core.py
+++ b/embertray/cluster/membership/core.py
@@ -9,6 +9,8 @@
 from .rumors import Rumors
 from .statements import Statements
 
+REFUSERS = 2048         # addresses that refusals are counted by
+
 
 class Membership(Statements):
     """One process. `wall`: ns by its own wall clock, which makes its life; `chance`: a seeded random.Random. Hand in what came
@@ -132,17 +134,17 @@
         self.woke(now)
         self.out = []
         if message.cluster != self.cluster or message.version != VERSION:
-            self.refused["cluster" if message.cluster != self.cluster else "version", address] += 1
+            self.refuse("cluster" if message.cluster != self.cluster else "version", address)
             return []
         if message.to_life not in (0, self.me.life):
-            self.refused["former life", address] += 1       # a replay, or it does not know yet that we are new
+            self.refuse("former life", address)             # a replay, or it does not know yet that we are new
             if message.sender.name != self.me.name:
                 self.put(message.sender.address, Ping, message.sender.life, self.next_number(), message.sender.name)
             return self.out
         self.joined = self.joined or message.to_life == self.me.life        # this very life is known there
         known = self.members.get(message.sender.name)
         if known is not None and message.sender.life < known.said.life:
-            self.refused["former life", address] += 1
+            self.refuse("former life", address)
             if not isinstance(message, Join):       # an older process of that name, or a replay: told of the younger
                 self.put(message.sender.address, Ack, message.sender.life, message.number, "", news=[known.said])
                 return self.out
@@ -155,6 +157,11 @@
         getattr(self, "on_" + type(message).__name__.lower())(now, message)
         return self.out
 
+    def refuse(self, why, address):
+        """Counted by address; past so many they share one count: against strangers that come from ever new ports."""
+        known = (why, address) in self.refused or len(self.refused) < REFUSERS
+        self.refused[why, address if known else "others"] += 1
+
     def on_ping(self, now, message):
         self.answer(message, Ack, message.number)
 
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -205,6 +205,14 @@
             self.assertEqual(core.refused[why, "x"], 1)
         self.assertEqual((core.state_of("x"), core.state_of("m1")), (None, ALIVE))
 
+    def test_strangers_from_ever_new_ports_cost_no_memory(self):
+        ring = Ring(15).gather(2)
+        core, other = ring.at["m0"].core, Statement("x", "x", 5, 0, ALIVE)
+        for port in range(10_000):
+            core.receive(ring.engine.time, f"x:{port}", Ping("elsewhere", 1, other, 0, 1, []))
+        self.assertLess(len(core.refused), 2100)
+        self.assertEqual(sum(core.refused.values()), 10_000)
+
     def test_a_replay_of_a_former_life_does_not_bring_it_back(self):
         ring = Ring(12).gather(4)
         old = ring.at["m2"].core.me
