Levels: a jam that is over is not cut, told by what waits and not by spans of 20 s

Wrong line: levels.py, a first cut judged by mid alone.

Change: no cut while what was told to wait in the last reports is under half of its mean over 8 s (EMPTY).

Also: 'cluster' as a purpose in the memory accounts with its action; the rig judges what a controller was told by what passed its link to the list, and excuses proxies behind a link that is bent; the claim 'young' counts from when a member last reached anybody who later reached the holder (a true split with a kill in the same second broke the former wording: c4's entry had come through c3, honestly 1.2 s old).

--- a/embertray/choice/be.py
+++ b/embertray/choice/be.py
@@ -59,11 +59,11 @@
         """What its samples come to now. An errored try counts as one that just missed its target."""
         long, short = (self.now - max(least, 2 * self.hub.cycle) for least in (c.WINDOW, c.SHORT))
         start, aim = max(long, self.new), self.hub.target       # what it did cold or sick does not count
-        newest = [r for r in self.samples if r.at > self.now - self.site.report_cycle * 3 // 2]
+        newest = tuple((r.tries, (r.tries - r.errored) * r.latency + r.errored * aim, r.load)
+                       for r in self.samples if r.at > self.now - self.site.report_cycle * 3 // 2)
         loads = [r.load for r in self.samples if r.load is not None and r.at > self.now - c.WINDOW]
         return Figures(self, self.over(start), self.now - start, self.over(short), self.warmth(),
-                       sum(loads) / len(loads) if loads else None,
-                       tuple((r.tries, (r.tries - r.errored) * r.latency + r.errored * aim) for r in newest))
+                       sum(loads) / len(loads) if loads else None, newest)
 
     def set(self, cap, health):
         """What reports tell of the time before a cut does not count."""
--- a/embertray/choice/levels.py
+++ b/embertray/choice/levels.py
@@ -3,7 +3,7 @@
 from .actor import Actor, c, i
 
 
-Row = namedtuple("Row", "level retry")      # a request kind's row: what is let in, how it is tried again
+Row = namedtuple("Row", "level retry")  # a request kind's; retry 1: only after proof that the first never ran
 
 
 class Levels(Actor):
@@ -15,7 +15,7 @@
         self.calm_at = hub.now + hub.timeout + hub.site.report_cycle  # after a restart a jam is not known yet
         self.look_at, self.cut_at, self.goal, self.full, self.units, self.pace = 0, 0, None, 0.0, 1.0, c.GROW
 
-    def on_state(self, mid, falls, busy, tries, bad, done, able, cold):
+    def on_state(self, mid, falls, over, busy, tries, bad, done, able, cold):
         hub, target, pxs = self.hub, self.hub.target, [px for px in self.hub.pxs if px.joined]
         if tries and bad / tries > c.MOST_FAIL:
             self.calm_at = hub.now + hub.timeout
@@ -33,7 +33,7 @@
             most, ably, calmly = (max(column) for column in zip(*self.done))
             if self.goal is not None and hub.now < self.cut_at:
                 self.full = max(self.full, done / max(units, self.units))  # what a full fleet does, it can do
-            if mid > c.HIGH * target and not (falls and self.goal) and hub.now >= self.cut_at:
+            if mid > c.HIGH * target and not (falls and self.goal or over) and hub.now >= self.cut_at:
                 known = most if self.goal is None else c.AGAIN * max(self.full, self.goal)
                 self.units = unit
                 least = c.LET_LEAST if len(self.done) > c.SURE_LOOKS else c.LET_NEW     # too new to know
@@ -52,10 +52,9 @@
             # what most was done is what could be done only where the rest could not do all of it
             shrunk = len(self.done) > c.SURE_LOOKS and able < c.SHRUNK * ably and busy * ably > c.ROOMY * able
             sure = c.SURE * max(most, calmly) if shrunk else c.ALL_RATE
-            over = coming - (sure if self.goal is None else self.goal) * unit
-            self.shed(pxs, max(over, (1 - c.WARY) * coming if cold and hub.now < self.calm_at else 0.0))
-        again = int(hub.now >= self.calm_at)        # 1: only after proof that the first never ran
-        hub.table = {kind: Row(row.level, again) for kind, row in hub.table.items()}
+            more = coming - (sure if self.goal is None else self.goal) * unit
+            self.shed(pxs, max(more, (1 - c.WARY) * coming if cold and hub.now < self.calm_at else 0.0))
+        hub.table = {kind: Row(row.level, int(hub.now >= self.calm_at)) for kind, row in hub.table.items()}
         hub.channel.tell("send", hub.table)
 
     def shed(self, pxs, over):
--- a/embertray/choice/planner.py
+++ b/embertray/choice/planner.py
@@ -26,15 +26,17 @@
         self.judge(rows)
         # guards against the first reports after a start: they tell of few backends, and of those by chance
         most = 2 * sum(r.short[0] > 0 for r in rows) >= len(rows)
-        done = sum(n for r in rows for n, _ in r.newest) if most else 0
-        self.means += [sum(took for r in rows for _, took in r.newest) / done] if done else []
+        done = sum(n for r in rows for n, *_ in r.newest) if most else 0
+        self.means += [sum(took for r in rows for _, took, _ in r.newest) / done] if done else []
         mid = self.means[-1] - min(c.LEAST * self.hub.target, *self.means) if done else 0
         # mid: the wait in queues. In a jam proxies shun full backends and take the empty one: cold ones wait
         jam = mid > c.LOW * self.hub.target and any(r.warm >= 1 for r in rows)
         falls = done > 0 and self.means[-1] < c.FALLS * self.means[-min(c.AGO, len(self.means))]
-        loads = [r.load for r in rows if r.load is not None] if self.hub.tells_busy else []
-        busy = sum(loads) / len(loads) if loads else 1.0
-        self.hub.levels.tell("state", mid, falls, busy, *(sum(r.short[k] for r in rows) for k in (0, 1, 3)),
+        loads = [r.load for r in rows if r.load is not None] or [1.0]   # gauges are younger than spans
+        late = [load for r in rows for *_, load in r.newest if load is not None] or loads
+        told, late = (sum(each) / len(each) for each in (loads, late))
+        self.hub.levels.tell("state", mid, falls, late < c.EMPTY * told, told if self.hub.tells_busy else 1.0,
+                             *(sum(r.short[k] for r in rows) for k in (0, 1, 3)),
                              sum(r.be.cap * r.warm for r in rows) or 1.0, any(r.warm < 1 for r in rows))
         self.lines({r.be: r.be.cap * r.warm * r.be.health for r in rows if r.warm >= 1 or not jam}, need)
 
--- a/embertray/cluster/link/link.py
+++ b/embertray/cluster/link/link.py
@@ -6,6 +6,7 @@
 import msgspec
 import structlog
 
+from ...memory import Shelf
 from ...net.address import BadAddress, loopback
 from ...stream.frames import BadFrame, Splitter, frame
 from ..membership import Membership, Pace
@@ -55,6 +56,19 @@
                 "refused": [{"why": why, "address": at, "times": n} for (why, at), n in members.refused.most_common(16)],
                 "state_held_back": self.allowance.held_back, **self.counted}
 
+    def shelves(self):
+        """What it holds, for the accounts; what each stands on is weighed without its owner."""
+        members, book = self.membership, self.book
+        return [Shelf("entries", len(book.held), book.held.items, [book.held, book.seen, book.lives]),
+                Shelf("members", len(members.members), members.members.items, [members.members]),
+                Shelf("refused", len(members.refused), members.refused.items, [members.refused]),
+                Shelf("probes", len(members.probes), members.probes.items, [members.probes])]
+
+    def close(self, closed):
+        """At its memory cap, and below it again. How many entries were left out so far."""
+        self.book.closed = closed
+        return sum(self.book.left_out.values())
+
     # ---- tasks
 
     async def run(self):
--- a/embertray/cluster/state/book.py
+++ b/embertray/cluster/state/book.py
@@ -17,12 +17,12 @@
 class Book:
     """`me`: own name; `life`: own life, raised by `reborn`. `cap`: bytes of all entries. What would go over it: an own entry raises
     Full; one that came is left out and counted (`left_out`), the owners with the most bytes first. `keep`: ns that entries of a gone
-    owner and taken back ones are held, so that no old copy brings them back."""
+    owner and taken back ones are held, so that no old copy brings them back. `closed`: nothing that is not held already is taken."""
 
     def __init__(self, me, life, cap=1 << 20, keep=600 * S):
         self.me, self.life, self.cap, self.keep = me, life, cap, keep
         self.held, self.version, self.bytes, self.left_out = {}, 0, 0, Counter()
-        self.by_owner, self.gone, self.seen, self.lives = Counter(), {}, {}, {}
+        self.by_owner, self.gone, self.seen, self.lives, self.closed = Counter(), {}, {}, {}, False
 
     # ---- own entries
 
@@ -64,7 +64,7 @@
                 self.held[entry.place] = old._replace(born=born)
             return False
         more = bytes_of(*entry.place, entry.value) - self.charged(entry.place)
-        if self.bytes + more > self.cap and not self.room(entry.owner, more):
+        if self.closed and more > 0 or self.bytes + more > self.cap and not self.room(entry.owner, more):
             self.left_out[entry.owner] += 1
             return False
         self.set(entry, born)
--- a/embertray/daemon/service.py
+++ b/embertray/daemon/service.py
@@ -146,6 +146,8 @@
         for name, why in step.cut:
             if name in self.streams:
                 self.proxies.end(now, self.streams[name], why)
+        if self.cluster and (account := self.instance.accounts.by.get("cluster")):
+            account.done = self.cluster.close(account.acting)
         if step.relist:
             self.list.asked(True)
         for backend in step.probe:
@@ -154,7 +156,7 @@
     def shelves(self):
         """What the streams hold, for the accounts."""
         streams = list(self.streams.values())
-        return {"streams": [
+        return {**({"cluster": self.cluster.shelves()} if self.cluster else {}), "streams": [
             Shelf("streams", len(streams), lambda: streams, [self.streams], (anyio.Event, anyio.CancelScope), ("stream", "on_taken", "read", "scope")),
             Shelf("untaken", sum(len(s.conn.queue) for s in streams), lambda: (d for s in streams for d in s.conn.queue)),
             Shelf("cuts", len(self.admission.cuts), self.admission.cuts.items, [self.admission.cuts])],
--- a/embertray/days/claims.py
+++ b/embertray/days/claims.py
@@ -5,7 +5,8 @@
 wrong   a member that has been within reach for `whole` is not taken for dead
 fresh   what a member told is within the staleness bound at all that reach it directly, once they have for `whole` and the bound
         (which grows by what exchanges with unreachable others take)
-young   what is held of a member that is out of reach is as old as its silence: no old entry passes for a new one
+young   what is held of a member that is out of reach is as old as its silence: no old entry passes for a new one. Its silence
+        begins when it was last in reach of anybody who was, later, in reach of the holder
 alone   a process that nothing passes to or from says within `death` that it is cut off; one in reach of others for `whole` does not
 
 Within reach: both ways, or by helpers, whichever are drawn. Poor ways (lost beyond LOSSY, late beyond a quarter of the period) are
@@ -40,10 +41,11 @@
         self.web, self.period, self.exchange, self.slack = web, period, exchange, slack
         self.names, self.there, self.still = list(web.members), set(), set()
         self.near, self.far = {}, {}        # (a, b) -> since when within reach, out of it
-        self.direct, self.helpers = {}, Pace().helpers      # (a, b) -> (since when, members that the better connected of the two misses)
+        self.last = {a: dict.fromkeys(self.names, 0) for a in self.names}       # holder -> of whom -> when that was last in reach
+        self.groups, self.direct, self.helpers = {}, {}, Pace().helpers      # (a, b) -> (since when, members that the better connected of the two misses)
         self.broken, self.worst, self.looks, self.held = {name: [] for name in NAMES}, 0.0, 0, dict.fromkeys(NAMES, 0)
         self.death, self.whole = death(len(self.names), period), whole(len(self.names), period)
-        web.changed = self.changed
+        web.watching.append(self.changed)
 
     # ---- what happens
 
@@ -87,7 +89,9 @@
         """Who reaches whom now, and since when; `struck`: all of this one's times begin anew."""
         living = [name for name in self.names if name in self.there and name not in self.still]
         good = {a: {b for b in living if b != a and self.fine(a, b) and self.fine(b, a)} for a in living}
-        any_way = self.parts(living, lambda a, b: self.web.way(a, b).open or self.web.way(b, a).open)
+        self.settle(at)
+        any_way = self.groups = self.parts(living, lambda a, b: self.web.way(a, b).open or self.web.way(b, a).open)
+        self.settle(at)
         most, count = self.helpers, len(self.names)
         for a in self.names:
             ours = good.get(a, set())
@@ -108,6 +112,13 @@
                 elif self.direct.get((a, b), (0, None))[1] != direct or struck in (a, b):
                     self.direct[a, b] = at, direct
 
+    def settle(self, at):
+        """What each group's members may know by now, of each other and of those whom one of them met before."""
+        for group in set(self.groups.values()):
+            newest = {name: at if name in group else max(self.last[one][name] for one in group) for name in self.names}
+            for one in group:
+                self.last[one] = dict(newest)
+
     # ---- what they said
 
     def breaks(self, claim, at, text):
@@ -140,10 +151,11 @@
                     if age is None or age > most + self.slack:
                         self.breaks("fresh", at, f"{who} holds of {other} what is {'nothing' if age is None else f'{age / S:.2f} s old'}, "
                                                  f"over {most / S:.2f} s")
-            if far > self.exchange + self.slack and age is not None:
+            silent = at - self.last[who][other] if far else 0
+            if silent > self.exchange + self.slack and age is not None:
                 self.held["young"] += 1
-                if age < far - self.exchange - self.slack:
-                    self.breaks("young", at, f"{who} holds of {other} what is {age / S:.2f} s old, out of reach for {far / S:.2f} s")
+                if age < silent - self.exchange - self.slack:
+                    self.breaks("young", at, f"{who} holds of {other} what is {age / S:.2f} s old, silent for {silent / S:.2f} s")
         others = [name for name in self.names if name != who]
         if others and all(at - self.far.get((who, name), at) > self.death + self.slack for name in others):
             self.held["alone"] += 1
--- a/embertray/days/rules.py
+++ b/embertray/days/rules.py
@@ -55,7 +55,7 @@
         self.site, self.events, self.backends = site, sorted(events, key=lambda e: e.at), backends
         self.cons, self.pxs = {}, {name: Pxy(lines) for name, lines in standing.items()}
         self.broken, self.spread, self.open = {name: [] for name in NAMES}, [], {}
-        self.tries, self.cold, self.lives, self.epochs = {}, {}, [], {}
+        self.tries, self.cold, self.lives, self.epochs, self.unheard = {}, {}, [], {}, set()
 
     def judge(self):
         for event in self.events:
@@ -104,6 +104,19 @@
         """Whether its grace had begun, and not run out, when the controller came to stand still."""
         return told.state != "ready" and con.frozen_at - told.at < self.site.drain_grace
 
+    def on_unheard(self, at, name):
+        """Its proxies reach it late or not at all, nor does it reach them, though streams stand."""
+        self.unheard.add(name)
+
+    def on_heard(self, at, name):
+        self.unheard.discard(name)
+        for px in self.pxs.values():
+            if px.con is not None and px.con is self.cons.get(name):
+                self.on_back(at, px)
+
+    def out(self, px):
+        return px.out or any(px.con is self.cons.get(name) for name in self.unheard)
+
     def on_pace(self, at, name, share):
         con = self.con(name)
         con.slowest, con.slow_until = (1 / con.pace, at) if share >= 1 else (1 / share, con.slow_until)
@@ -157,8 +170,8 @@
         """It stands still or does not read, by its own fault."""
         self.pxs[name].out = True
 
-    def on_back(self, at, name):
-        px = self.pxs[name]
+    def on_back(self, at, who):
+        px = self.pxs.get(who, who)
         px.out, px.excused = False, at + STILL_AFTER + self.site.drain_grace
         if px.bare is not None:
             px.bare = at
@@ -169,7 +182,7 @@
             return
         cost = self.site.head + (orders.mark is not None) + sum(
             1 + len(do.lines) + len(do.levels) + len(do.out) if isinstance(do, Bind) else 1 for do in orders.do)
-        if not px.out:
+        if not self.out(px):
             px.con.messages.append((orders.stamp, at, cost))
         px.times.append(at)
         while px.times[0] <= at - self.site.messages_window:
@@ -195,7 +208,7 @@
             px.bare = at
 
     def look(self, at, px):
-        if px.bare is None or px.con is None or px.out:
+        if px.bare is None or px.con is None or self.out(px):
             return
         site, warm = self.site, self.site.warm_after
         ready = [max(t.at, t.started + warm if t.started else 0) for t in px.con.list.values() if t.state == "ready"]
@@ -220,7 +233,7 @@
         before.append((backend, "out", at))
         told = px.con.list.get(backend) if px.con else None
         paused = px.con and told and px.con.frozen and self.begun(px.con, told)
-        if px.con and told and told.state != "ready" and not px.out and not paused and at > px.excused:
+        if px.con and told and told.state != "ready" and not self.out(px) and not paused and at > px.excused:
             since = max(told.at, px.joined_at)
             if at - since > site.drain_grace * px.con.factor(since):
                 self.breaks("drain", at, f"{name} sent to {backend}, {told.state} {(at - since) / S:.2f} s ago")
--- a/embertray/memory/caps.py
+++ b/embertray/memory/caps.py
@@ -10,6 +10,7 @@
 | channel | the proxy with the most lines waiting is cut | the others get theirs; it is bound anew when it is back |
 | streams, names | joins are turned away, with a time to come back | who is there is served |
 | probes | probes are skipped | they are extra: sums tell the same, later |
+| cluster (where the site has one) | what others tell anew is left out, what is held is renewed | it comes again with the next exchange once there is room |
 """
 from collections import namedtuple
 
@@ -23,6 +24,7 @@
 A_LINE = 400            # bytes of a line in tables: as ordered, as wanted and as told
 A_WAITING = 200         # bytes of a line that waits in the channel, its share of the message included
 A_LISTED = 1 * KIB      # bytes of a list's entry: as held, its starts and its handle
+A_MEMBER = 4 * KIB      # bytes; a member with its statement, digests, probes and refusals that are counted by address
 PROBES = 256            # probes under way at most
 LEAVE = 0.9             # of the cap: an action ends below, so that it does not flap
 NOTICE, QUIET = 0.8, 0.7    # of the cap: said once above, and again only after it was below
@@ -33,8 +35,7 @@
 #                         (docs/measured/memory.md). What we make is freed by counts; cycles are few
 
 ACTIONS = {"tables": "hold", "list": "hold", "reports": "drop", "channel": "cut", "streams": "turn away",
-           "names": "turn away", "probes": "skip"}
-PURPOSES = tuple(ACTIONS)
+           "names": "turn away", "probes": "skip", "cluster": "leave out"}
 
 Verdict = namedtuple("Verdict", "purpose action excess")      # excess: bytes over what ends the action
 
@@ -47,4 +48,6 @@
     caps = {"tables": zones * backends * A_LINE + proxies * KIB, "list": backends * A_LISTED, "reports": reports,
             "channel": int(site.pending_max * A_WAITING) + proxies * KIB, "streams": proxies * A_PROXY,
             "names": (proxies + backends) * A_NAME, "probes": PROBES * KIB}
+    if site.cluster:        # twice the state: its cap counts bytes told, this one what holds them, too
+        caps["cluster"] = (2 * site.cluster.state + len(site.controllers) * A_MEMBER) // HEADROOM
     return {purpose: max(LEAST, HEADROOM * size) for purpose, size in caps.items()}
--- a/embertray/model/way.py
+++ b/embertray/model/way.py
@@ -21,6 +21,10 @@
     lost: int = 0
     at: int = 0
 
+    @property
+    def straight(self):
+        return all(getattr(self, name) == value for name, value in STRAIGHT.items())
+
     def set(self, now, **how):
         for name, value in how.items():
             setattr(self, name, value)
--- a/embertray/model/web.py
+++ b/embertray/model/web.py
@@ -12,7 +12,7 @@
         pairs = [(a, b) for a in members for b in members if a != b]
         pairs += [pair for a in members for b in ends for pair in ((a, b), (b, a))]
         self.ways = {(a, b): Way(random.Random(f"{seed} {a} {b}")) for a, b in pairs}
-        self.changed = lambda now: None         # called after ways were bent or made straight
+        self.watching = []                      # each called with the time after ways were bent or made straight
         self.streams = {pair: set() for pair in pairs}          # what ends a stream that was opened by the first towards the second
 
     def way(self, a, b):
@@ -36,6 +36,10 @@
             self.ways[pair].heal(now, names)
         self.changed(now)
 
+    def changed(self, now):
+        for call in self.watching:
+            call(now)
+
     def each(self, now=0, **how):
         self.bend(now, self.pairs(), **how)
 
--- a/embertray/rig/held.py
+++ b/embertray/rig/held.py
@@ -1,12 +1,15 @@
 """A day's controllers as true processes of the program, with or without the rig's links round them. What days strike acts on these."""
 from dataclasses import replace
+from functools import partial
 
 import anyio
 
 from ..cluster.link.link import EXCHANGE_WITHIN
 from ..days.claims import Claims
+from ..inventory.messages import News, read_answer
 from ..site.site import time as span
 from ..standin.aged import age_on_disk
+from ..stream.frames import Splitter
 from .described import describe
 from .ports import free_ports
 from .program import Program
@@ -128,7 +131,7 @@
 
     def __init__(self, seed, folder, clustered=True):
         super().__init__(seed, folder)
-        self.clustered = clustered
+        self.clustered, self.poor = clustered, set()
 
     async def start(self, stage):
         await super().start(stage)
@@ -139,15 +142,32 @@
         self.used = await self.watch.used()
 
     async def prepare(self):
-        to = {}
+        to, taps = {}, {}
+        self.stage.inventory.told = None            # told is what passed the link
         for name in self.at:
             to[name, "list"] = lambda: self.stage.inventory.address
+            taps[name, "list"] = lambda name=name: partial(self.passed, name, Splitter())
             to["px", name] = lambda name=name: self.at[name].listen
-        self.links = Ways({name: int((at.cluster or "0:0").rpartition(":")[2]) for name, at in self.at.items()}, self.seed, ("list", "px"), to)
+        self.links = Ways({name: int((at.cluster or "0:0").rpartition(":")[2]) for name, at in self.at.items()}, self.seed, ("list", "px"), to, taps)
         await self.stage.group.start(self.links.run)
+        self.links.watching.append(self.bent)
         if self.clustered:
             self.claims = Claims(self.links, span(self.stage.day.fleet["period"]), EXCHANGE_WITHIN, SLACK)
 
+    def passed(self, name, splitter, data):
+        """Bytes of the list that reach a controller."""
+        for payload in splitter.feed(data):
+            if isinstance(news := read_answer(payload), News):
+                self.stage.eyes.told(self.stage.clock.now(), name, news)
+
+    def bent(self, at):
+        """Proxies are not heard, or hear nothing, or late: what they do then is not their controller's doing."""
+        for name in self.at:
+            poor = not (self.links.way(name, "px").straight and self.links.way("px", name).straight)
+            if poor != (name in self.poor):
+                (self.poor.add if poor else self.poor.discard)(name)
+                self.stage.eyes.note(at, "unheard" if poor else "heard", name)
+
     def inventory(self, name):
         return f"127.0.0.1:{self.links.port(name, 'list')}"
 
--- a/embertray/rig/tube.py
+++ b/embertray/rig/tube.py
@@ -16,10 +16,12 @@
 
 
 class Tube:
-    """From `port` to `target()`, an address. `there`, `back`: the ways; `streams`: where what ends each stream is kept."""
+    """From `port` to `target()`, an address. `there`, `back`: the ways; `streams`: where what ends each stream is kept. `tap()`: for each
+    stream a function that sees the bytes that came back, when they are passed on."""
 
-    def __init__(self, port, target, there, back, streams):
+    def __init__(self, port, target, there, back, streams, tap=None):
         self.port, self.target, self.there, self.back, self.streams = port, target, there, back, streams
+        self.tap = tap or (lambda: lambda data: None)
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=self.port)
@@ -41,8 +43,8 @@
                         group.cancel_scope.cancel()
                     self.streams.add(end)
                     try:
-                        group.start_soon(self.carry, self.there, near, far, group)
-                        await self.carry(self.back, far, near, group)
+                        group.start_soon(self.carry, self.there, near, far, group, lambda data: None)
+                        await self.carry(self.back, far, near, group, self.tap())
                         group.cancel_scope.cancel()
                     finally:
                         self.streams.discard(end)
@@ -53,19 +55,19 @@
         except* BROKEN:
             pass
 
-    async def carry(self, way, source, to, group):
+    async def carry(self, way, source, to, group, seen):
         """Parts in their order, each held back as the way says."""
         put, take = anyio.create_memory_object_stream(PARTS)
         try:
             async with put, take, anyio.create_task_group() as both:
-                both.start_soon(self.deliver, way, take, to, group)
+                both.start_soon(self.deliver, way, take, to, group, seen)
                 while True:
                     data = await source.receive()
                     await put.send((now() + way.hold(), data))
         except* BROKEN:
             group.cancel_scope.cancel()
 
-    async def deliver(self, way, take, to, group):
+    async def deliver(self, way, take, to, group, seen):
         try:
             while True:
                 due, data = await take.receive()
@@ -74,5 +76,6 @@
                 while not way.open:
                     await anyio.sleep(LOOK)
                 await to.send(data)
+                seen(data)
         except BROKEN:
             group.cancel_scope.cancel()
--- a/embertray/rig/ways.py
+++ b/embertray/rig/ways.py
@@ -16,11 +16,11 @@
 
 class Ways(Web):
     """`at`: name -> the true cluster port of each member. `port(a, b)` is where a reaches b, `way(a, b)` what lies between. `to`: (from,
-    to) -> a function that gives the address, for the ends that are no members."""
+    to) -> a function that gives the address, for the ends that are no members; `taps`: (from, to) -> Tube's tap."""
 
-    def __init__(self, at, seed=1, ends=(), to=None):
+    def __init__(self, at, seed=1, ends=(), to=None, taps=None):
         super().__init__(list(at), seed, ends)
-        self.at, self.to, self.unreadable, self.out = at, dict(to or {}), 0, None
+        self.at, self.to, self.taps, self.unreadable, self.out = at, dict(to or {}), dict(taps or {}), 0, None
         self.ports = dict(zip([*self.pairs(), *self.to], free_ports(len(self.pairs()) + len(self.to))))
 
     def port(self, a, b):
@@ -34,7 +34,7 @@
                     await group.start(self.datagrams, pair, group)
                 for (a, b), port in self.ports.items():
                     target = self.to.get((a, b)) or (lambda b=b: f"127.0.0.1:{self.at[b]}")
-                    await group.start(Tube(port, target, self.ways[a, b], self.ways[b, a], self.streams[a, b]).run)
+                    await group.start(Tube(port, target, self.ways[a, b], self.ways[b, a], self.streams[a, b], self.taps.get((a, b))).run)
                 task_status.started()
 
     async def datagrams(self, pair, group, *, task_status):
--- a/tests/test_cluster_processes.py
+++ b/tests/test_cluster_processes.py
@@ -1,5 +1,6 @@
 """Several true processes of the program on loopback: killed, stopped, started again, two of one name. Each wait is on what a
 process says of itself or of the others, with a limit; no verdict rests on a sleep."""
+import json
 import subprocess
 import sys
 import tempfile
@@ -41,6 +42,10 @@
                                capture_output=True, text=True).stdout
         self.assertEqual([line.split()[:2] for line in shown.splitlines()[2:]], [["c2", "alive"], ["c3", "alive"], ["c4", "alive"]])
 
+        held = {row["purpose"]: row for row in json.loads(site.ask("c1", "/memory"))["purposes"]}["cluster"]
+        self.assertGreater(held["entries"], 3)
+        self.assertEqual(held["action"], "leave out")
+
         pace = Pace(period=PERIOD * 10**6)
         most = (2 * 3 * pace.period + pace.wait(4, 0) + 8 * pace.period) / 1e9      # the stated bound for four members
         site.kill("c4")
@@ -86,6 +91,7 @@
         site = self.site(1, clustered=False)
         site.wait(lambda: site.ask("c1", "/live") == b"live\n", "c1 lives")
         self.assertIn(b"no cluster", site.ask("c1"))
+        self.assertNotIn(b'"cluster"', site.ask("c1", "/memory"))
         code = ("import sys; import embertray.cli.main, embertray.daemon.service, embertray.admin.http; "
                 "print([m for m in sys.modules if m.startswith('embertray.cluster')])")
         self.assertEqual(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT).stdout, "[]\n")
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -11,10 +11,10 @@
 from embertray.days import notation, player
 from embertray.emulator import churn
 from embertray.memory import Accounts, Shelf
-from embertray.memory.caps import ACTIONS, JITTER, LEAST, NOTICE, WAIT, defaults
+from embertray.memory.caps import A_MEMBER, ACTIONS, JITTER, LEAST, NOTICE, WAIT, defaults
 from embertray.memory.sizes import deep, weigh
 from embertray.site import load
-from embertray.site.site import HERE as SITES
+from embertray.site.site import HERE as SITES, Cluster
 from embertray.stream.messages import Fault, Line, Met, Orders, Sums, Welcome
 from test_daemon import START, virtual
 
@@ -77,7 +77,10 @@
     def test_caps_follow_from_the_fleet_and_the_description(self):
         site = load(SITES / "samples" / "pushed.xml")
         small, large = defaults(site), defaults(site.at(proxies=1000, backends=1000))
-        self.assertTrue(all(small[p] >= LEAST and large[p] >= small[p] for p in ACTIONS))
+        self.assertTrue(all(small[p] >= LEAST and large[p] >= small[p] for p in small))
+        self.assertEqual(set(ACTIONS) - set(small), {"cluster"})        # nothing of it without the element
+        told = Cluster("c", S, 8 << 20, 1 << 16)
+        self.assertEqual(defaults(site.at(cluster=told))["cluster"], 2 * (8 << 20) + 2 * A_MEMBER)
         it = Instance(site.at(caps={"reports": 123}), site.controllers[0], 1, 0)
         self.assertEqual(it.accounts.by["reports"].cap, 123)
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -122,6 +122,14 @@
             one.put(NOW, "more", b"x" * 9_000)
         self.assertLessEqual(one.bytes, 10_000)
 
+    def test_closed_by_the_accounts_it_renews_what_is_held_and_takes_nothing_more(self):
+        one = Book("a", 1)
+        one.merge(NOW, [Entry("b", "k", 1, 1, 0, b"old")])
+        one.closed = True
+        one.merge(NOW, [Entry("b", "k", 1, 2, 0, b"new"), Entry("b", "more", 1, 3, 0, b"x"), Entry("c", "k", 1, 1, 0, b"x")])
+        self.assertEqual([(k.owner, k.value) for k in one.freshest(NOW, "k")], [("b", b"new")])
+        self.assertEqual(dict(one.left_out), {"b": 1, "c": 1})
+
     def test_what_was_left_out_comes_again_when_there_is_room(self):
         owner, reader = Book("b", 1), Book("a", 1, cap=3_000)
         for n in range(20):
