Cluster: the wrongly dead come back within a bound; asked in turns, words handed on anew

Also: which of those taken for dead is pinged was drawn by chance, so no bound held. Wrong lines: core.py beckon (one by chance), statements.py take (an older word that comes is passed over in silence).

--- a/embertray/cluster/membership/core.py
+++ b/embertray/cluster/membership/core.py
@@ -21,7 +21,7 @@
         self.cluster, self.pace, self.chance = cluster, pace, chance
         self.me, self.members = Statement(name, address, wall, 0, ALIVE), {}
         self.seeds = [seed for seed in seeds if seed != address]
-        self.rumors, self.health, self.round, self.probes = Rumors(), Health(pace.worst), Round(chance), {}
+        self.rumors, self.health, self.probes, self.round, self.lost, self.full = Rumors(), Health(pace.worst), {}, *(Round(chance) for _ in range(3))
         self.number, self.changes, self.refused, self.ended = 0, [], Counter(), ""
         self.joined, self.last, self.heard = not self.seeds, now, now
         self.probe_at, self.beckon_at, self.out = now + chance.randrange(pace.period), now, []
@@ -117,11 +117,14 @@
             self.take(now, self.about(member, DEAD if member.death is not None else SUSPECT))
 
     def beckon(self, now):
-        """Seeds, and those taken for dead, are pinged now and then: so the sides of a split find each other again."""
+        """Seeds, and those taken for dead, are pinged now and then: so the sides of a split find each other again. One that is there
+        is asked for all that it knows."""
         known = {m.address for m in self.here}
         lost = sorted(m.name for m in self.members.values() if m.state == DEAD)
-        for name in self.chance.sample(lost, min(1, len(lost))):
-            self.send(self.members[name], Ping, self.next_number())
+        for _ in range(min(self.pace.helpers, len(lost))):      # each in its turn: how long one waits for a ping is bounded
+            self.send(self.members[self.lost.next(lost)], Ping, self.next_number())
+        if (name := self.full.next(m.name for m in self.here)) is not None:     # all that it knows, in turns: against lost words
+            self.send(self.members[name], Join, self.next_number(), first=False)
         away = [seed for seed in self.seeds if seed not in known]
         if away and (not self.joined or not lost):
             for seed in away if not self.joined else self.chance.sample(away, 1):
--- a/embertray/cluster/membership/statements.py
+++ b/embertray/cluster/membership/statements.py
@@ -35,6 +35,8 @@
                     self.back(member)
                 self.changed(said)
         elif not (said.state == SUSPECT and said.rank == member.said.rank and said.by not in member.doubters):
+            if said.rank < member.said.rank and member.state != ALIVE:
+                self.rumors.put(member.said)    # somebody lacks it, who may reach the one to deny it: against words lost on shut links
             return
         if said.state == SUSPECT:
             member.doubters.add(said.by)
