--- a/embertray/fleet/limits/core.py
+++ b/embertray/fleet/limits/core.py
@@ -91,6 +91,7 @@
             if not self.memory.put(sender, ask):
                 return []                   # repeated, or overtaken by a later one
             self.holder.hears(sender, ask)
+            self.seen, self.proposer.known = max(self.seen, ask.ballot), max(self.proposer.known, ask.ballot)
             if ask.keeping and ask.ballot >= self.tenure:
                 self.tenure, self.keeper, self.keeper_at = ask.ballot, sender, now
         if self.ledger is None or not self.keeps(now) or ask.ballot != self.proposer.tenure:
--- a/embertray/fleet/limits/lease.py
+++ b/embertray/fleet/limits/lease.py
@@ -29,12 +29,12 @@
 
 class Proposer:
     """Tries for the lease, and renews it. `mine`: until when we hold it, by our clock; `tenure`: the ballot that it began with, which an
-    unbroken row of renewals keeps."""
+    unbroken row of renewals keeps, unless a later one is `known`: to whom that was told we would pass for a former keeper."""
 
     def __init__(self, me, index, count, pace):
         self.me, self.index, self.count, self.pace = me, index, count, pace
         self.round, self.trying, self.voices, self.proposed, self.began = 0, 0, set(), False, 0
-        self.tenure, self.mine = 0, 0
+        self.tenure, self.mine, self.known = 0, 0, 0
 
     def holds(self, now):
         return now < self.mine
@@ -61,7 +61,7 @@
             return False
         self.voices.add(sender)
         if 2 * len(self.voices) > self.count and self.began + self.pace.term > max(now, self.mine):
-            self.tenure = self.tenure if self.holds(now) else self.trying
+            self.tenure = self.tenure if self.holds(now) and self.tenure >= self.known else self.trying
             self.mine = self.began + self.pace.term
             return True
         return False
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -90,7 +90,7 @@
 
 class Drawn(unittest.TestCase):
     def test_never_over_and_used_again_afterwards(self):
-        for seed in (*range(8), 15, 36, 72, 147, 248, 590):        # 15 and later: once over, or stuck, before it was mended
+        for seed in (*range(8), 15, 36, 72, 147, 248, 590, 601):       # 15 and later: once over, or stuck, before it was mended
             with self.subTest(seed=seed):
                 hall = play(seed)
                 hall.run(60 * S)
