--- a/embertray/days/rules.py
+++ b/embertray/days/rules.py
@@ -10,45 +10,16 @@
 While a channel runs at a part of its rate, the times grow by as much. What a controller is told while it stands still
 counts from when it goes on, and a grace that it has begun stands still with it; what a proxy does that stands still or does not read is not the controller's doing.
 """
-from collections import deque
-
-from ..stream.holding import Holding
 from ..stream.messages import Bind
+from .budgets import Budgets
+from .seen import Con, Pxy, Told
 
 S = 10**9
 NAMES = ("lost", "duplicate", "drain", "failback", "backlog")
-SLACK = 1.15        # x on cold loads and on the pace: chance in what is drawn, jitter of timers
 STILL_AFTER = S     # ns after standing still until a proxy has caught up
 
 
-class Told:
-    """What a controller was told of one backend."""
-
-    __slots__ = ("state", "started", "at", "knew")
-
-    def __init__(self, state, started, at, knew):
-        self.state, self.started, self.at, self.knew = state, started, at, knew
-
-
-class Con:
-    """A controller as the sockets show it: one life."""
-
-    def __init__(self, at):
-        self.born, self.list, self.frozen, self.late, self.pace, self.slow_until = at, {}, False, [], 1.0, at
-        self.slowest, self.frozen_at = 1.0, 0
-        self.messages = []          # (stamp, seen, cost)
-
-    def factor(self, since):
-        return 1 / self.pace if self.pace < 1 else (self.slowest if since <= self.slow_until else 1.0)
-
-
-class Pxy:
-    def __init__(self, standing):
-        self.holding, self.con, self.joined_at, self.bare = Holding(standing), None, 0, None
-        self.message_at, self.excused, self.out, self.times, self.waiting = -1, 0, False, deque(), {}
-
-
-class Checker:
+class Checker(Budgets):
     """`judge()` gives {rule: [what broke it, first ten]} and the spread of changed tables."""
 
     def __init__(self, site, standing, events, backends):
@@ -248,57 +219,3 @@
         for n, (be, was, sent_at) in enumerate(before):
             if be == backend and was == "out":
                 before[n] = (be, how, sent_at)
-
-    # ---- cold backends
-
-    def on_started(self, at, backend):
-        if backend in self.cold:
-            self.failback(backend, *self.cold[backend])
-        self.cold[backend] = at, []
-
-    def failback(self, backend, start, sends):
-        """A budget: what any span of fall_after brings must stay under multiple x capacity x span."""
-        site, shape = self.site, self.backends[backend].shape
-        if not site.fall_multiple or not site.fall_after:
-            return
-
-        def capacity(at):
-            part = min(1.0, (at - start) / shape.warm_after) if shape.warm_after else 1.0
-            return shape.cores * shape.speed * (shape.cold_from + (1 - shape.cold_from) * part)
-
-        first, total, known = 0, 0, 0
-        for at, work, knows in sends:
-            if at > start + shape.warm_after + site.fall_after:
-                break
-            total, known = total + work, known + work * knows
-            while sends[first][0] <= at - site.fall_after:
-                total, known = total - sends[first][1], known - sends[first][1] * sends[first][2]
-                first += 1
-            middle = max(start, at - site.fall_after / 2)
-            bears = site.fall_multiple * capacity(middle) * site.fall_after * SLACK
-            if total > bears and known * 3 >= total * 2:
-                self.breaks("failback", at, f"{backend}, cold for {(at - start) / S:.1f} s, was brought "
-                                            f"{total / bears * SLACK:.2f} times what it bears")
-                return
-
-    # ---- the channel
-
-    def channel(self, con):
-        """Lines between their order and their arrival wait; and no second carries more than the pace."""
-        turns = sorted([(stamp, 1, cost) for stamp, _, cost in con.messages]
-                       + [(seen, 0, -cost) for _, seen, cost in con.messages])
-        waiting = 0
-        for at, _, cost in turns:
-            waiting += cost
-            if self.site.pending_max and waiting > self.site.pending_max:
-                self.breaks("backlog", at, f"{waiting:.0f} lines wait")
-                break
-        span, lines, largest = deque(), 0, 0
-        for _, seen, cost in sorted(con.messages, key=lambda m: m[1]):
-            span.append((seen, cost))
-            lines, largest = lines + cost, max(largest, cost)
-            while span[0][0] <= seen - S:
-                lines -= span.popleft()[1]
-            if lines > self.site.channel_rate * SLACK + largest:
-                self.breaks("backlog", seen, f"{lines:.0f} lines left within a second")
-                break
--- /dev/null
+++ b/embertray/measure/models/loans.py
@@ -0,0 +1,114 @@
+"""What is lent, in every order of events."""
+from ...fleet.limits.holder import Holder
+from ...fleet.limits.ledger import Ledger
+from ...fleet.limits.messages import Ask, Grant
+from ..explore import clone
+from .ticks import Ticks
+
+
+class LoansModel:
+    """One keeper, members x and y with a proxy each, a limit of two units, no floors. Asks and grants are lost, repeated, delayed; x may stand
+    still and wake, or crash and start anew; its proxy may move to y. Property: the proxies never act on more than two units together."""
+
+    def __init__(self, asks=2, ticks=4, breaks=1, moves=1, holder=Holder, ledger=Ledger, pace=Ticks):
+        self.pace, self.make, self.now, self.asks, self.ticks = pace, holder, 10, {"x": asks, "y": asks}, ticks
+        self.breaks, self.moving, self.still, self.lives, self.learns = breaks, moves, False, {"x": 1, "y": 1}, []
+        self.ledger = ledger(["x", "y"], {"l": 2}, {"l": 0}, pace, 10)
+        self.holders = {name: holder(name, {"l": 0}, pace, 1 << 8) for name in "xy"}
+        self.home, self.parts, self.network = {"p": "x", "q": "y"}, {"p": 0, "q": 0}, []
+        for px, name in self.home.items():
+            self.holders[name].joined(px)
+        self.holders["x"].wants, self.holders["y"].wants = {"l": 2}, {"l": 2}
+
+    def copy(self):
+        other = clone(self)
+        other.asks, other.lives, other.learns = self.asks.copy(), self.lives.copy(), self.learns.copy()
+        other.home, other.parts, other.network = self.home.copy(), self.parts.copy(), self.network.copy()
+        other.holders = {name: clone(one) for name, one in self.holders.items()}
+        other.ledger = clone(self.ledger)
+        other.ledger.lines = {}
+        for name, line in self.ledger.lines.items():
+            mine = other.ledger.lines[name] = type(line)()
+            mine.ask, mine.at, mine.grants, mine.ghosts = line.ask, line.at, line.grants.copy(), line.ghosts.copy()
+        return other
+
+    def key(self):
+        lines = tuple((row.ask and (row.ask.life, row.ask.seq), row.at, repr(row.grants), tuple((g[0].seq, g[2]) for g in row.ghosts))
+                      for row in self.ledger.lines.values())
+        holders = tuple((h.seq, h.applied, h.until, repr((h.loan, h.may, h.sent, h.here, sorted(h.acted), h.away, h.heard, list(h.listed))))
+                        for h in self.holders.values())
+        return (self.now, tuple(self.asks.values()), self.ticks, self.breaks, self.moving, self.still, repr(self.learns), tuple(self.lives.values()),
+                tuple(self.home.values()), tuple(self.parts.values()), frozenset(text for *_, text in self.network), lines, holders)
+
+    def moves(self):
+        found = [("tick", "tick")] if self.ticks else []
+        awake = [name for name in "xy" if not (self.still and name == "x")]
+        found += [(f"{name} asks", "ask", name) for name in awake if self.asks[name]]
+        if self.breaks:
+            found += [("x stands still", "stop"), ("x crashes and starts", "crash")]
+        if self.still:
+            found.append(("x wakes", "wake"))
+        if self.moving and self.home["p"] == "x":
+            found.append(("p moves to y", "move"))
+        for n, (to, sender, message, _) in enumerate(self.network):
+            if to in ("keeper", *awake):
+                found.append((f"{sender}>{to} {type(message).__name__} {message.seq & 255}", "deliver", n))
+        for name in awake:
+            for limit, px, units in self.holders[name].orders(self.now):
+                found.append((f"{name} tells {px} {units}", "push", name))
+                break
+        return found
+
+    def tick(self):
+        self.now, self.ticks = self.now + 1, self.ticks - 1
+
+    def ask(self, name):
+        self.asks[name] -= 1
+        ask = self.holders[name].ask(self.now, 1, False)
+        for to in ("keeper", "y" if name == "x" else "x"):
+            self.network.append((to, name, ask, f"{to} {ask!r}"))
+
+    def stop(self):
+        self.breaks, self.still = self.breaks - 1, True
+
+    def wake(self):
+        self.still = False
+        for what, px in self.learns:
+            getattr(self.holders["x"], what)(px)
+        self.learns = []
+
+    def crash(self):
+        self.breaks, self.still, self.learns = self.breaks - 1, False, []
+        self.lives["x"] += 1
+        self.holders["x"] = self.make("x", {"l": 0}, self.pace, self.lives["x"] << 8)
+        self.holders["x"].wants = {"l": 2}
+        for px in [px for px, home in self.home.items() if home == "x"]:
+            self.holders["x"].joined(px)
+
+    def move(self):
+        self.moving, self.home["p"] = self.moving - 1, "y"
+        if self.still:
+            self.learns.append(("left", "p"))
+        else:
+            self.holders["x"].left("p")
+        self.holders["y"].joined("p")
+
+    def deliver(self, n):
+        to, sender, message, _ = self.network[n]
+        if to == "keeper":
+            if self.ledger.asked(self.now, sender, message):
+                grant = Grant(message.seq, 1, self.ledger.grant(self.now, sender))
+                self.network.append((sender, "keeper", grant, f"{sender} {grant!r}"))
+        elif isinstance(message, Ask):
+            self.holders[to].hears(sender, message)
+        else:
+            self.holders[to].granted(self.now, message, 1)
+
+    def push(self, name):
+        """Orders reach their proxies at once, and are answered."""
+        for limit, px, units in self.holders[name].orders(self.now):
+            self.parts[px] = units
+            self.holders[name].acts(limit, px, units)
+
+    def wrong(self):
+        return f"proxies act on {sum(self.parts.values())} of 2" if sum(self.parts.values()) > 2 else ""
