Test: waits until the accounts have looked at the cluster

Seen in one run of the whole suite: 'AssertionError: 0 not greater than 3', as the accounts look once a second and the page was asked before. The test now waits for it, with a limit.

--- a/tests/test_cluster_processes.py
+++ b/tests/test_cluster_processes.py
@@ -42,9 +42,10 @@
                                capture_output=True, text=True).stdout
         self.assertEqual([line.split()[:2] for line in shown.splitlines()[2:]], [["c2", "alive"], ["c3", "alive"], ["c4", "alive"]])
 
-        held = {row["purpose"]: row for row in json.loads(site.ask("c1", "/memory"))["purposes"]}["cluster"]
-        self.assertGreater(held["entries"], 3)
-        self.assertEqual(held["action"], "leave out")
+        def held():
+            return {row["purpose"]: row for row in json.loads(site.ask("c1", "/memory"))["purposes"]}["cluster"]
+        site.wait(lambda: held()["entries"] > 3, "the accounts have looked at the cluster")     # each second, not at once
+        self.assertEqual(held()["action"], "leave out")
 
         pace = Pace(period=PERIOD * 10**6)
         most = (2 * 3 * pace.period + pace.wait(4, 0) + 8 * pace.period) / 1e9      # the stated bound for four members
