--- a/embertray/days/notation.py
+++ b/embertray/days/notation.py
@@ -1,4 +1,5 @@
 """Reads a day's text (day.lark is the grammar) into what the player runs. Errors name file, line and column."""
+import re
 from dataclasses import dataclass, field
 from functools import cache
 from pathlib import Path
@@ -144,6 +145,10 @@
     def there(name):
         return name in ("list", "px") or 1 <= int(name[1:]) <= counts[name[0]]
     for trouble in day.troubles:
+        shares = [part for part in trouble.options.get("groups", "").split("/") if "%" in part]
+        shares += [trouble.options["share"]] if trouble.name in LINKS and "share" in trouble.options else []
+        if bad := next((part for part in shares if not re.fullmatch(r"(\d{1,2}(\.\d+)?|100)%", part)), None):
+            raise BadDay(f"{path}:{trouble.line}:1: '{bad}' is no share; 30% is one")
         groups = trouble.options.get("groups", "").replace("/", ",").split(",") if "groups" in trouble.options else []
         if "%" in trouble.options.get("groups", ""):
             groups = []                     # shares, drawn
