--- a/embertray/node/service.py
+++ b/embertray/node/service.py
@@ -4,14 +4,14 @@
 import anyio
 import structlog
 
-from ..net.conn import Conn
-from ..net.http import BROKEN, CallFailed, Talk
+from ..net.http import CallFailed, Talk
+from ..platform.calls import CALLS, FORM, Unreadable
 from ..platform.discovery import Unreadable as BadList
-from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LAST_WITHIN, LIST_MOST, LOOK, MS, QUIET_BESIDE, REDIAL,
-                               REDIAL_MOST, REPLY_WITHIN, STREAMS)
+from ..platform.limits import ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LIST_MOST, LOOK, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST, STREAMS
+from ..platform.news import STREAM
 from ..platform.post import Post
-from ..platform.relay import CALLS, FORM, STREAM, Unreadable
 from ..platform.start import BadStart
+from .clients import Clients
 
 
 class Service:
@@ -22,7 +22,7 @@
         self.log = (log or structlog.get_logger()).bind(controller=start.name)
         self.post = Post(start, clock.now(), clock.wall())
         self.poked, self.called, self.stopping = anyio.Event(), anyio.Event(), anyio.Event()
-        self.room, self.strangers = anyio.Event(), 0
+        self.clients = Clients(self.post, clock, self.poke, self.log)
         self.streams, self.watching = {}, None          # cancel scopes: of connections with news, of the list's call
         self.address = None
 
@@ -36,7 +36,7 @@
             async with anyio.create_task_group() as group:
                 if signals:
                     await group.start(self.signals)
-                group.start_soon(self.accept, listener, group)
+                group.start_soon(self.clients.accept, listener, group)
                 group.start_soon(self.pump)
                 group.start_soon(self.calls)
                 group.start_soon(self.lists)
@@ -221,56 +221,3 @@
         if got := follow.heard(now, status, body):
             self.post.news(now, got[0], self.clock.wall(), got[1])
             self.poke()
-
-    # ---- our address
-
-    async def accept(self, listener, group):
-        while True:
-            if self.strangers >= self.post.strangers_most:
-                self.room = anyio.Event()
-                await self.room.wait()
-            if (stream := await listener.accept()) is None:
-                await anyio.sleep(GATHER / 1e9)
-                continue
-            self.strangers += 1
-            group.start_soon(self.client, stream)
-
-    async def client(self, stream):
-        """One connection at our address, from its dial to its end. No error leaves this method."""
-        port, conn, counted = self.post.port(self.clock.now()), Conn(stream), True
-        try:
-            while not port.over:
-                data = None
-                if port.joined is None:
-                    with anyio.move_on_after(max(0, port.join_by - self.clock.now()) / 1e9):
-                        data = await conn.read()
-                else:
-                    data = await conn.read()
-                if data is not None:
-                    found = port.receive(data)
-                    if found:
-                        self.post.reports(found)
-                        self.poke()
-                port.late(self.clock.now())
-                if counted and (port.joined is not None):
-                    counted = self.no_stranger()
-                if port.reply:
-                    reply, port.reply = port.reply, b""
-                    with anyio.move_on_after((LAST_WITHIN if port.over else REPLY_WITHIN) / 1e9):
-                        await stream.send(reply)
-            if port.joined is not None:
-                self.log.info("collector gone", zone=port.joined, why=port.over, spoilt=port.spoilt, last=port.why)
-        except BROKEN:
-            pass
-        except Exception as wrong:          # against a peer that finds a fault of ours: it costs its own connection
-            self.log.error("a connection's handling failed", exc_info=wrong)
-        finally:
-            if counted:
-                self.no_stranger()
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(stream)
-
-    def no_stranger(self):
-        self.strangers -= 1
-        self.room.set()
-        return False
--- /dev/null
+++ b/embertray/platform/calls.py
@@ -0,0 +1,139 @@
+"""Calls with orders to the relay, and what an answer, or none, means. One call is in flight at a time."""
+from collections import deque
+from urllib.parse import urlencode
+from xml.etree import ElementTree
+
+from .limits import AGAIN_FIRST, AGAIN_MOST, ANSWER_MOST, EVIDENCE, ORDERS_MOST, REJECTS_MOST
+
+CALLS = "/api/"
+FORM = "application/x-www-form-urlencoded"
+
+
+class Unreadable(ValueError):
+    """What came can't be read; the connection is of no further use."""
+
+
+def verdict(status, body):
+    """('taken', how many orders) | ('error', its word). Raises Unreadable."""
+    if len(body) > ANSWER_MOST:
+        raise Unreadable(f"an answer of {len(body)} bytes")
+    try:
+        root = ElementTree.fromstring(body)
+    except (ElementTree.ParseError, ValueError, LookupError) as wrong:
+        raise Unreadable(str(wrong)) from None
+    found = root.findall("./items/item/ok_count")
+    if status == 200 and root.tag == "Response" and len(found) == 1 and (found[0].text or "").strip().isdigit():
+        return "taken", int(found[0].text)
+    for part in root.iter():        # the error's word stands in an element, whichever
+        word = (part.text or "").strip()
+        if part.tag.rpartition("}")[2].lower() in ("code", "error") and word.isalpha() and len(word) < 64:
+            return "error", word.lower()
+    raise Unreadable(f"status {status} and neither orders taken nor an error")
+
+
+class Call:
+    """One step's orders, or the rest of them; `mark`: the number that the proxies answer, or None."""
+
+    __slots__ = ("orders", "mark", "rejects")
+
+    def __init__(self, orders, mark=None):
+        self.orders, self.mark, self.rejects = orders, mark, 0
+
+    def body(self):
+        return urlencode({"Action": "CommitChanges", "orders": ";".join(self.orders)}).encode()
+
+
+class Caller:
+    """`way`: the longest that a message takes to a proxy, ns. A call is `due(now)`, goes out, and one of `answered`, `broke`
+    ends it. Unanswered ones were carried out or not: the answer to the call's mark tells; without it for long enough the
+    call goes out again, which changes nothing twice, as every order names what is to stand."""
+
+    def __init__(self, way):
+        self.way, self.queue, self.at, self.doubt, self.seen, self.fails = way, deque(), 0, False, False, 0
+        self.refused, self.lost, self.again = [], 0, 0      # orders not taken; calls given up; calls sent again
+
+    @property
+    def idle(self):
+        return not self.queue
+
+    def put(self, orders, mark=None, sync=None):
+        """A step's orders as text, in order; `sync`: builds the order for an answer, given 1 for all proxies."""
+        part, size = [], 0
+        for order in orders:
+            if size + len(order) + 1 > ORDERS_MOST - 64:
+                self.queue.append(Call(part))
+                part, size = [], 0
+            part.append(order)
+            size += len(order) + 1
+        if sync:
+            # in several calls the last one's answer stands for all: it goes to every proxy
+            part.append(sync(int(len(orders) > len(part))))
+        if part:
+            self.queue.append(Call(part, mark))
+
+    def due(self, now):
+        """The Call to send now, or None."""
+        if not self.queue or now < self.at:
+            return None
+        if self.doubt and self.seen:
+            self.done()
+            return self.due(now)
+        self.again += self.doubt
+        self.doubt = self.seen = False
+        return self.queue[0]
+
+    def done(self):
+        self.queue.popleft()
+        self.doubt, self.seen, self.fails, self.at = False, False, 0, 0
+
+    def saw(self, mark):
+        """A proxy answered this mark: the call that carried it was carried out. True if one waited for that."""
+        if self.queue and self.queue[0].mark is not None and self.queue[0].mark == mark:
+            self.seen = True
+            if self.doubt:
+                self.at = 0
+                return True
+        return False
+
+    def answered(self, now, status, body):
+        """The whole answer came. A short text for the log if something was amiss."""
+        call = self.queue[0]
+        try:
+            what, value = verdict(status, body)
+        except Unreadable as wrong:
+            return self.broke(now, True, f"unreadable answer: {wrong}")
+        if what == "taken" and value >= len(call.orders):
+            self.done()
+            return ""
+        if what == "taken":
+            self.refused.append(call.orders[value])
+            rest = call.orders[value + 1:]
+            if value and rest and call.mark is not None:
+                rest[-1] = rest[-1].rpartition(",")[0] + ",1"       # those who got the first part are to answer, too
+            call.orders = rest
+            if not rest:
+                self.done()
+            return f"order {value + 1} was refused: {self.refused[-1]}"
+        if value != "throttled":
+            call.rejects += 1
+            if value == "invalid" or call.rejects > REJECTS_MOST:
+                self.lost += 1
+                self.done()
+                return f"call given up: {value}"
+        self.later(now)
+        return f"call rejected: {value}"
+
+    def broke(self, now, sent, why):
+        """No answer. `sent`: the call's last byte had gone, so it may have been carried out."""
+        if not sent:
+            self.later(now)
+        elif self.queue[0].mark is None:
+            self.again += 1
+            self.later(now)
+        else:
+            self.doubt, self.at = True, 0 if self.seen else now + self.way + EVIDENCE
+        return why
+
+    def later(self, now):
+        self.at = now + min(AGAIN_MOST, AGAIN_FIRST << min(self.fails, 6))
+        self.fails += 1
--- a/embertray/platform/post.py
+++ b/embertray/platform/post.py
@@ -5,10 +5,11 @@
 from .. import interface as i
 from ..briefing import Briefing
 from ..drive import Drive
+from .calls import Caller
 from .discovery import Follow
 from .limits import SPARE, STRANGERS_PART, TIDY, WAITING_MOST
+from .news import Done, News, Standing
 from .port import Port
-from .relay import Caller, Done, News, Standing
 from .start import without_words
 from .words import Words
 
--- a/embertray/platform/words.py
+++ b/embertray/platform/words.py
@@ -1,6 +1,6 @@
 """The module's events and orders in the platform's words, by the door's ids."""
 from .. import interface as i
-from .relay import Attach, Detach
+from .news import Attach, Detach
 
 
 def figure(value):
--- a/tests/run.py
+++ b/tests/run.py
@@ -46,6 +46,7 @@
 
 
 def main(arguments):
+    sys.path.insert(0, str(ROOT))
     runner = unittest.TextTestRunner(resultclass=Kept)
     result = unittest.main(module=None, argv=["bin/test", "discover", "-s", str(ROOT / "tests"), *arguments], testRunner=runner,
                            exit=False).result
--- /dev/null
+++ b/tests/test_node_relay.py
@@ -0,0 +1,139 @@
+"""The relay: what calls, their answers and the news of proxies mean, by bytes and times."""
+import unittest
+
+from embertray.platform import limits
+from embertray.platform.calls import Caller, Unreadable, verdict
+from embertray.platform.news import Attach, Detach, Done, News, Standing
+from platform_stage import ERROR, GOOD, MS, S
+
+
+class Calls(unittest.TestCase):
+    def caller(self):
+        caller = Caller(200 * MS)
+        caller.put(["SET,1,be-1,1", "USE,3,1,*", "USE,4,1,*"], 7, "SYNC,7,{}".format)
+        return caller
+
+    def test_answers(self):
+        self.assertEqual(verdict(200, b'<?xml version="1.0"?>\n' + GOOD % 2), ("taken", 2))
+        self.assertEqual(verdict(503, ERROR % b"throttled"), ("error", "throttled"))
+        for spoilt in (b"", b"<Response><items><it", GOOD % 2 + b"x", GOOD.replace(b"%d", b"-1"), GOOD.replace(b"%d", b""), b"\xff" * 9,
+                       b"<Response/>", (GOOD % 2).replace(b"Response", b"R"), b"x" * (limits.ANSWER_MOST + 1)):
+            with self.assertRaises(Unreadable):
+                verdict(200, spoilt)
+
+    def test_one_call_and_its_answer(self):
+        caller = self.caller()
+        call = caller.due(0)
+        self.assertEqual(call.orders, ["SET,1,be-1,1", "USE,3,1,*", "USE,4,1,*", "SYNC,7,0"])
+        self.assertEqual(call.body()[:37], b"Action=CommitChanges&orders=SET%2C1%2")
+        self.assertEqual((caller.answered(0, 200, GOOD % 4), caller.idle), ("", True))
+
+    def test_a_refused_order_is_left_out_and_the_rest_goes_on(self):
+        caller = self.caller()
+        caller.due(0)
+        caller.answered(0, 200, GOOD % 1)
+        self.assertEqual(caller.due(0).orders, ["USE,4,1,*", "SYNC,7,1"])       # who got the first part answers, too
+
+    def test_a_rejected_call_waits_longer_each_time(self):
+        caller, now, waits = self.caller(), 0, []
+        for _ in range(6):
+            self.assertIsNotNone(caller.due(now))
+            caller.answered(now, 503, ERROR % b"throttled")
+            waits.append(caller.at - now)
+            now = caller.at
+        self.assertEqual(waits, sorted(waits))
+        self.assertEqual((waits[0], waits[-1]), (limits.AGAIN_FIRST, limits.AGAIN_MOST))
+        caller.due(now)
+        caller.answered(now, 400, ERROR % b"invalid")           # no such call: it would never be taken
+        self.assertEqual((caller.idle, caller.lost), (True, 1))
+
+    def test_an_unanswered_call_goes_again_only_without_evidence(self):
+        for evidence in (None, 100 * MS):
+            caller = self.caller()
+            caller.due(0)
+            caller.broke(0, True, "closed")
+            self.assertIsNone(caller.due(100 * MS))
+            if evidence:
+                self.assertTrue(caller.saw(7))
+                self.assertIsNone(caller.due(evidence))
+                self.assertTrue(caller.idle)
+            else:
+                self.assertFalse(caller.saw(6))
+                self.assertEqual(caller.due(200 * MS + limits.EVIDENCE).mark, 7)
+                self.assertFalse(caller.idle)
+
+    def test_a_call_that_was_not_sent_goes_again_soon(self):
+        caller = self.caller()
+        caller.due(0)
+        caller.broke(0, False, "refused")
+        self.assertEqual(caller.due(limits.AGAIN_FIRST).mark, 7)
+
+    def test_many_orders_go_in_several_calls(self):
+        caller = Caller(0)
+        caller.put([f"USE,{k},1,*" for k in range(9000)], 5, "SYNC,5,{}".format)
+        sizes = [len(";".join(call.orders)) for call in caller.queue]
+        self.assertTrue(len(sizes) > 1 and max(sizes) <= limits.ORDERS_MOST)
+        self.assertEqual([call.mark for call in caller.queue], [None] * (len(sizes) - 1) + [5])
+        self.assertEqual(caller.queue[-1].orders[-1], "SYNC,5,1")
+
+
+class Relayed(unittest.TestCase):
+    def test_news_in_any_pieces(self):
+        data = (b":\n\nevent: attach\ndata: node=17&locality=north&w=21.5&cold=1\n\nevent: done\r\ndata: node=17&nonce=905&latency=310.4\r\n\r\n"
+                b"event: attach\ndata: node=40&locality=north&w=1&cold=0\n\nevent: attach\ndata: node=x\n\nevent: detach\ndata: node=17\n\n")
+        told = [Attach(17, "north", 21.5, True), Done(17, 905, 310_400_000), Detach(17)]
+        news, bits = News(["north"], 40), News(["north"], 40)
+        self.assertEqual(news.receive(data), told)
+        self.assertEqual([one for k in range(len(data)) for one in bits.receive(data[k:k + 1])], told)
+        self.assertEqual(news.skipped, 2)
+        with self.assertRaises(Unreadable):
+            news.receive(b"x" * (limits.EVENT_MOST + 1))
+
+    def standing(self):
+        """Two connections on which proxies 1 and 2 stand, both past their opening; 'a' leads."""
+        standing, both = Standing(), [Attach(1, "north", 1.0, True), Attach(2, "north", 1.0, True)]
+        standing.opened(0, "a")
+        first = standing.took(0, "a", both) + standing.took(limits.OPENING, "a", [])
+        standing.opened(limits.OPENING, "b")
+        self.assertEqual(standing.took(limits.OPENING, "b", both) + standing.took(S, "b", []), [])
+        return standing, first, both
+
+    def test_what_stands_is_told_once(self):
+        _, first, both = self.standing()
+        self.assertEqual(first, both)
+
+    def test_the_other_connection_takes_over_without_a_word(self):
+        standing, _, _ = self.standing()
+        self.assertEqual(standing.lost(2 * S, "a"), [])
+        self.assertEqual(standing.took(2 * S, "b", [Detach(1)]), [Detach(1)])
+
+    def test_what_only_the_other_heard_is_told_when_it_takes_over(self):
+        standing, _, both = self.standing()
+        third = Attach(3, "south", 2.0, False)
+        self.assertEqual(standing.took(2 * S, "b", [Detach(1), both[0], Detach(2), third]), [])
+        self.assertEqual(standing.lost(3 * S, "a"), [Detach(2), Detach(1), both[0], third])
+
+    def test_answers_to_marks_count_from_either(self):
+        standing, _, _ = self.standing()
+        self.assertEqual(standing.took(2 * S, "b", [Done(1, 7, 5), Done(9, 7, 5)]), [Done(1, 7, 5)])
+
+    def test_a_silent_connection_is_given_up_sooner_beside_a_lively_one(self):
+        standing, _, _ = self.standing()
+        standing.took(2 * S, "b", [])
+        self.assertTrue(standing.quiet(2 * S, "a"))
+        self.assertFalse(standing.quiet(2 * S, "b"))
+        standing.lost(2 * S, "a")
+        self.assertFalse(standing.quiet(2 * S + limits.QUIET_MOST, "b"))
+        self.assertTrue(standing.quiet(2 * S + limits.QUIET_MOST + 1, "b"))
+
+    def test_a_gap_without_news_leaves_who_still_stands(self):
+        standing, _, both = self.standing()
+        self.assertEqual(standing.lost(2 * S, "b") + standing.lost(2 * S, "a"), [])
+        standing.opened(3 * S, "a")
+        self.assertEqual(standing.took(3 * S, "a", both[:1]), [])
+        self.assertEqual(standing.next_at(), 3 * S + limits.OPENING)
+        self.assertEqual(standing.lead(3 * S + limits.OPENING), [Detach(2)])
+
+
+if __name__ == "__main__":
+    unittest.main()
