Calls: a count of orders that int() takes for none, or over what was sent, proves nothing

Seen by reading and a probe: verdict() asked str.isdigit() and then int(): '²' and 5,000 digits raise ValueError there, which nobody catches, and the process ends. A count over the call's orders (an answer spoilt out of range) was taken for all orders carried out (value >= len), so orders of a call that was not carried out were lost. Excluded: other spoilt answers end as Unreadable (test_answers had them).

Now both count as an unreadable answer: the call is in doubt and goes again without evidence. Both new cases fail on the former text (ValueError; '' is not true).

--- a/embertray/platform/calls.py
+++ b/embertray/platform/calls.py
@@ -3,7 +3,7 @@
 from urllib.parse import urlencode
 from xml.etree import ElementTree
 
-from .limits import AGAIN_FIRST, AGAIN_MOST, ANSWER_MOST, EVIDENCE, ORDERS_MOST, REJECTS_MOST
+from .limits import AGAIN_FIRST, AGAIN_MOST, ANSWER_MOST, COUNT_DIGITS, EVIDENCE, ORDERS_MOST, REJECTS_MOST
 
 CALLS = "/api/"
 FORM = "application/x-www-form-urlencoded"
@@ -22,8 +22,10 @@
     except (ElementTree.ParseError, ValueError, LookupError) as wrong:
         raise Unreadable(str(wrong)) from None
     found = root.findall("./items/item/ok_count")
-    if status == 200 and root.tag == "Response" and len(found) == 1 and (found[0].text or "").strip().isdigit():
-        return "taken", int(found[0].text)
+    if status == 200 and root.tag == "Response" and len(found) == 1:
+        count = (found[0].text or "").strip()
+        if count.isascii() and count.isdigit() and len(count) <= COUNT_DIGITS:     # against digits that int() takes for none
+            return "taken", int(count)
     for part in root.iter():        # the error's word stands in an element, whichever
         word = (part.text or "").strip()
         if part.tag.rpartition("}")[2].lower() in ("code", "error") and word.isalpha() and len(word) < 64:
@@ -102,7 +104,9 @@
             what, value = verdict(status, body)
         except Unreadable as wrong:
             return self.broke(now, True, f"unreadable answer: {wrong}")
-        if what == "taken" and value >= len(call.orders):
+        if what == "taken" and value > len(call.orders):    # more than it was sent: the count is spoilt, and proves nothing
+            return self.broke(now, True, f"{value} of {len(call.orders)} orders taken")
+        if what == "taken" and value == len(call.orders):
             self.done()
             return ""
         if what == "taken":
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -17,7 +17,8 @@
         self.assertEqual(verdict(200, b'<?xml version="1.0"?>\n' + GOOD % 2), ("taken", 2))
         self.assertEqual(verdict(503, ERROR % b"throttled"), ("error", "throttled"))
         for spoilt in (b"", b"<Response><items><it", GOOD % 2 + b"x", GOOD.replace(b"%d", b"-1"), GOOD.replace(b"%d", b""), b"\xff" * 9,
-                       b"<Response/>", (GOOD % 2).replace(b"Response", b"R"), b"x" * (limits.ANSWER_MOST + 1)):
+                       b"<Response/>", (GOOD % 2).replace(b"Response", b"R"), b"x" * (limits.ANSWER_MOST + 1),
+                       GOOD.replace(b"%d", "²".encode()), GOOD.replace(b"%d", b"9" * 5000)):
             with self.assertRaises(Unreadable):
                 verdict(200, spoilt)
 
@@ -28,6 +29,13 @@
         self.assertEqual(call.body()[:37], b"Action=CommitChanges&orders=SET%2C1%2")
         self.assertEqual((caller.answered(0, 200, GOOD % 4), caller.idle), ("", True))
 
+    def test_more_taken_than_was_sent_proves_nothing(self):
+        caller = self.caller()
+        caller.due(0)
+        self.assertTrue(caller.answered(0, 200, GOOD % 5))
+        self.assertIsNone(caller.due(100 * MS))
+        self.assertEqual(caller.due(200 * MS + limits.EVIDENCE).orders[0], "SET,1,be-1,1")     # nobody answered its mark: again
+
     def test_a_refused_order_is_left_out_and_the_rest_goes_on(self):
         caller = self.caller()
         caller.due(0)
