Calls: sending has a time limit, and one that is given up does not arrive later

Seen by a probe on loopback (a peer that reads nothing): Talk.ask waited for ever, so one silent relay connection would have held all calls (calls are one at a time); and aclose_forcefully cancelled the close before the transport was aborted: 1,985,664 unwritten bytes stayed, the descriptor too, and the peer that woke up read the whole 2,000,000 bytes. Wrong lines: Talk.ask without a limit, Talk.aclose. Excluded: lists and news, whose requests are under 200 bytes (they get the limit, too).

Talk.ask takes SEND_WITHIN, Talk.aclose aborts the transport, and a call that ends without its whole answer is closed with a reset, so that the system drops what it still holds. tests/test_http.py: without the limit, with the former close, and without the reset one test each fails (seen).

--- a/embertray/net/http.py
+++ b/embertray/net/http.py
@@ -1,6 +1,11 @@
 """HTTP/1.1 calls by h11 over TCP streams. What a failure means is the caller's business; here is only how far it got."""
+import socket
+import struct
+from contextlib import suppress
+
 import anyio
 import h11
+from anyio.abc import SocketAttribute
 
 BROKEN = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 READ = 64 << 10         # bytes read at once
@@ -29,15 +34,16 @@
         except BROKEN as wrong:             # TimeoutError is an OSError
             raise CallFailed(f"{address}: {wrong or 'no connection in time'}", False) from None
 
-    async def ask(self, method, path, body=b"", kind=""):
-        """Sends a request whole. Raises CallFailed."""
+    async def ask(self, method, path, within, body=b"", kind=""):
+        """Sends a request whole, `within` ns. Raises CallFailed; what has not gone by then is to be dropped by `aclose`."""
         headers = [("Host", self.host)]
         if body:
             headers += [("Content-Type", kind), ("Content-Length", str(len(body)))]
         data = self.state.send(h11.Request(method=method, target=path, headers=headers))
         data += (self.state.send(h11.Data(data=body)) if body else b"") + self.state.send(h11.EndOfMessage())
         try:
-            await self.stream.send(data)
+            with anyio.fail_after(within / 1e9):        # against a peer that takes nothing and gives no sign
+                await self.stream.send(data)
         except BROKEN as wrong:
             raise CallFailed(f"sending: {type(wrong).__name__}", False) from None
 
@@ -97,6 +103,11 @@
             return True
         return False
 
-    async def aclose(self):
+    async def aclose(self, reset=False):
+        """Closes at once; what was not written yet is dropped. `reset`: so is what the system still holds for the peer, as
+        far as it can be: a request that is given up must not arrive later, behind newer ones."""
         with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(self.stream)
+            if reset:
+                with suppress(OSError, anyio.TypedAttributeLookupError):
+                    self.stream.extra(SocketAttribute.raw_socket).setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            await self.stream.aclose()      # not in a cancelled scope: that one leaves the transport to its unwritten bytes
--- a/embertray/node/service.py
+++ b/embertray/node/service.py
@@ -7,7 +7,8 @@
 from ..net.http import CallFailed, Talk
 from ..platform.calls import CALLS, FORM, Unreadable
 from ..platform.discovery import Unreadable as BadList
-from ..platform.limits import ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LIST_MOST, LOOK, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST, STREAMS
+from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LIST_MOST, LOOK, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST,
+                               SEND_WITHIN, STREAMS)
 from ..platform.news import STREAM
 from ..platform.post import Post
 from ..platform.start import BadStart
@@ -129,12 +130,14 @@
                 self.log.info("call", why=said, orders=len(call.orders), mark=call.mark, failed=caller.fails)
 
     async def one_call(self, call):
-        talk = await Talk.dial(self.net, self.start.store.address, CONNECT_WITHIN)
+        talk, reset = await Talk.dial(self.net, self.start.store.address, CONNECT_WITHIN), True
         try:
-            await talk.ask("POST", CALLS, call.body(), FORM)
-            return await talk.answer(ANSWER_WITHIN, ANSWER_MOST)
+            await talk.ask("POST", CALLS, SEND_WITHIN, call.body(), FORM)
+            answer = await talk.answer(ANSWER_WITHIN, ANSWER_MOST)
+            reset = False
+            return answer
         finally:
-            await talk.aclose()
+            await talk.aclose(reset)
 
     # ---- news
 
@@ -159,7 +162,7 @@
         standing, reader = self.post.standing, self.post.stream()
         talk = await Talk.dial(self.net, self.start.store.address, CONNECT_WITHIN)
         try:
-            await talk.ask("GET", STREAM)
+            await talk.ask("GET", STREAM, SEND_WITHIN)
             standing.opened(self.clock.now(), name)
             status = None
             while True:
@@ -215,7 +218,7 @@
 
     async def list_call(self, talk, follow):
         path, within = follow.ask()
-        await talk.ask("GET", path)
+        await talk.ask("GET", path, SEND_WITHIN)
         status, body = await talk.answer(within, LIST_MOST)
         now = self.clock.now()
         if got := follow.heard(now, status, body):
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,72 @@
+"""Calls over HTTP on loopback: what is owed, and what must not arrive any more, when one is given up."""
+import os
+import socket
+import unittest
+
+import anyio
+
+from embertray.net.http import CallFailed, Talk
+from embertray.net.tcp import TcpNet
+
+MS = 10**6
+BODY = b"x" * (16 << 20)        # more than the system takes for a peer that reads nothing
+
+
+def silent():
+    """A listening socket that takes connections and little of what is sent."""
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listening.bind(("127.0.0.1", 0))
+    listening.listen()
+    return listening
+
+
+def drained(listening):
+    """(bytes, whether the connection was reset) of all that still comes on the next connection."""
+    peer, _ = listening.accept()
+    got = 0
+    with peer:
+        peer.settimeout(10)
+        try:
+            while data := peer.recv(1 << 20):
+                got += len(data)
+        except ConnectionResetError:
+            return got, True
+    return got, False
+
+
+class GivenUp(unittest.TestCase):
+    def play(self, body, reset, within=50 * MS):
+        """Asks a peer that reads nothing, gives the call up, and tells what the peer reads then and what the call failed with."""
+        async def asked():
+            with silent() as listening:
+                talk = await Talk.dial(TcpNet(), f"127.0.0.1:{listening.getsockname()[1]}", 1000 * MS)
+                failed, before = None, len(os.listdir("/proc/self/fd"))
+                with anyio.fail_after(20):
+                    try:
+                        await talk.ask("POST", "/api/", within, body, "text/plain")
+                        await talk.answer(within, 100)
+                    except CallFailed as wrong:
+                        failed = wrong
+                    await talk.aclose(reset)
+                    await anyio.sleep(0)            # a transport that was told to end closes its socket in the next round
+                    after = len(os.listdir("/proc/self/fd"))
+                    return failed, before - after, *await anyio.to_thread.run_sync(drained, listening)
+        return anyio.run(asked)
+
+    def test_a_request_that_is_not_taken_fails_in_time_and_never_arrives_whole(self):
+        failed, closed, got, _ = self.play(BODY, False)
+        self.assertFalse(failed.sent)
+        self.assertEqual(closed, 1)
+        self.assertLess(got, len(BODY))
+
+    def test_a_request_in_doubt_that_is_given_up_does_not_arrive_later(self):
+        body = b"x" * 60_000                        # the system takes it at once, the peer's window does not
+        failed, closed, got, reset = self.play(body, True)
+        self.assertTrue(failed.sent)
+        self.assertEqual((closed, reset), (1, True))
+        self.assertLess(got, len(body))
+
+
+if __name__ == "__main__":
+    unittest.main()
