Start and signals: ended by 0 from the first import on; a bad address or list ends nothing

Seen by reading and forced by tests. (1) Signals were handled only once the task group ran: SIGTERM or SIGHUP during the imports (0.2 s) ended the process with -15 or -1; a second SIGTERM or SIGINT while it ended met the system's own handlers again (-15, or a KeyboardInterrupt's trace). (2) SIGHUP with a file whose address is none: TcpNet.dial raised BadAddress out of a task, and the process ended with code 2. (3) A 'known' list that can't be read was a start that can't be used. Excluded: asyncio's own SIGINT handler (it is set only over Python's default one); exit with 1,000 connections was sound.

node/early.py handles SIGTERM and SIGINT for the whole life of the process (os._exit(0), also within a long step) and keeps SIGHUP until it can be acted on; Service checks addresses before it uses a configuration; an unreadable 'known' list counts as empty. Without each of these lines a test fails (seen: end, keep, the address check, the decode guard).

--- a/embertray/node/__main__.py
+++ b/embertray/node/__main__.py
@@ -1,4 +1,5 @@
 """`python -m embertray.node`: one real controller, told by ROUTER_CONFIG, in the foreground until SIGTERM."""
+from .early import EARLY  # first: what is imported below takes a while, and a signal may come in it
 import os
 import sys
 
@@ -24,7 +25,7 @@
 
 
 async def serve(path):
-    await Service(load(path), LoopClock(), TcpNet(plain), lambda: load(path)).run()
+    await Service(load(path), LoopClock(), TcpNet(plain), lambda: load(path)).run(early=EARLY)
 
 
 def main():
--- a/embertray/node/service.py
+++ b/embertray/node/service.py
@@ -4,6 +4,7 @@
 import anyio
 import structlog
 
+from ..net.address import BadAddress
 from ..net.http import CallFailed, Talk
 from ..platform.calls import CALLS, FORM, Unreadable
 from ..platform.discovery import Unreadable as BadList
@@ -22,53 +23,55 @@
         self.start, self.clock, self.net, self.load = start, clock, net, load
         self.log = (log or structlog.get_logger()).bind(controller=start.name)
         self.post = Post(start, clock.now(), clock.wall())
-        self.poked, self.called, self.stopping = anyio.Event(), anyio.Event(), anyio.Event()
+        self.poked, self.called = anyio.Event(), anyio.Event()
         self.clients = Clients(self.post, clock, self.poke, self.log)
         self.streams, self.watching = {}, None          # cancel scopes: of connections with news, of the list's call
         self.address = None
 
     # ---- lifecycle
 
-    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED, signals=True):
-        """Runs until SIGTERM or `stop`; started(address) once it listens. Raises OSError, BadAddress."""
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED, early=None):
+        """Runs until it is cancelled; started(address) once it listens. `early` ends the process by SIGTERM and SIGINT and has kept
+        SIGHUP until now; without it no signal is looked at. Raises OSError, BadAddress."""
+        self.dialled(self.start)
         listener = await self.net.listen(self.start.listen)
         self.address = listener.address
         try:
             async with anyio.create_task_group() as group:
-                if signals:
-                    await group.start(self.signals)
+                if early:
+                    await group.start(self.hangups, early)
                 group.start_soon(self.clients.accept, listener, group)
                 group.start_soon(self.pump)
                 group.start_soon(self.calls)
                 group.start_soon(self.lists)
                 for name in range(STREAMS):
                     group.start_soon(self.news, name)
-                self.log.info("listening", address=self.address, list=len(self.start.known.members))
+                self.log.info("listening", address=self.address, list=len(self.post.state))
                 task_status.started(self.address)
-                await self.stopping.wait()
-                group.cancel_scope.cancel()
+                await anyio.sleep_forever()
         finally:
             with anyio.CancelScope(shield=True):
                 await listener.aclose()
 
-    def stop(self):
-        self.stopping.set()
-
-    async def signals(self, *, task_status):
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as came:
+    async def hangups(self, early, *, task_status):
+        with anyio.open_signal_receiver(signal.SIGHUP) as came:
+            if early.kept:
+                self.reload()
             task_status.started()
-            async for one in came:
-                if one == signal.SIGHUP:
-                    self.reload()
-                else:
-                    self.log.info("stopping", signal=one.name)
-                    self.stop()
+            async for _ in came:
+                self.reload()
+
+    def dialled(self, start):
+        """`start`, if its addresses can be dialled. Raises BadAddress."""
+        for address in (start.discovery, start.store.address):
+            self.net.parse(address)
+        return start
 
     def reload(self):
         """A new configuration: other addresses of discovery and relay hold from now on; a bad file changes nothing."""
         try:
-            new = self.load()
-        except BadStart as wrong:
+            new = self.dialled(self.load())
+        except (BadStart, BadAddress) as wrong:
             self.log.error("the new configuration can't be used", why=str(wrong))
             return
         old, self.start = self.start, new
--- a/embertray/platform/post.py
+++ b/embertray/platform/post.py
@@ -22,10 +22,11 @@
         self.said = without_words(self.told)
         super().__init__(start.chance, self.told.deployment, now)
         self.words, self.caller, self.standing = Words(self.door, self.told.kinds), Caller(self.module.site.way_max), Standing()
-        self.follow, self.tidy_at = Follow(start.known.revision), now + TIDY
+        known = start.members()
+        self.follow, self.tidy_at = Follow(known.revision), now + TIDY
         self.unknown = self.dropped = 0         # reports on nobody that a list ever had; reports that waited too long
         self.strangers_most = max(16, min(int(start.limits.sockets * STRANGERS_PART), start.limits.sockets - SPARE))
-        self.news(now, "cached", wall, start.known.members)
+        self.news(now, "cached", wall, known.members)
 
     def port(self, now):
         """A new connection at our address."""
--- a/embertray/platform/start.py
+++ b/embertray/platform/start.py
@@ -2,7 +2,7 @@
 import msgspec
 
 from ..briefing import BadBriefing
-from .discovery import Members
+from .discovery import Members, decoder as list_decoder
 
 
 class BadStart(ValueError):
@@ -28,7 +28,15 @@
     settings: dict
     seed: str = "0"
     limits: Limits = msgspec.field(default_factory=Limits)
-    known: Members = msgspec.field(default_factory=Members)
+    known: msgspec.Raw = msgspec.Raw(b"{}")
+
+    def members(self):
+        """The list as it was last held; an empty one if it can't be read: it may be out of date anyway, and who would not
+        start for it serves nobody."""
+        try:
+            return list_decoder.decode(self.known)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            return Members()
 
     @property
     def chance(self):
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -59,7 +59,7 @@
         await group.start(relay.run)
         data = configured(relay.address, discovery.address, **more)
         service = Service(read(data), LoopClock(), net, lambda: read(data), quiet())
-        await group.start(lambda **kw: service.run(signals=False, **kw))
+        await group.start(lambda **kw: service.run(**kw))
         with anyio.fail_after(30):
             yield service, relay, discovery
         group.cancel_scope.cancel()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,10 +2,13 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
 import anyio
@@ -16,10 +19,11 @@
 from embertray.net.tcp import TcpNet
 from embertray.platform import limits
 from embertray.platform.news import Attach
+from embertray.platform.port import ALIVE
 from embertray.platform.post import Post
 from embertray.platform.start import BadStart, read
 from embertray.standin.platform import StandinDiscovery, StandinRelay
-from platform_stage import HEARD, HERE, S, SETTINGS, configured, member, stage
+from platform_stage import HEARD, HERE, JOIN, S, SETTINGS, configured, member, stage
 
 
 class Told(unittest.TestCase):
@@ -48,6 +52,12 @@
                 plain(address)
         self.assertEqual(plain("10.0.0.4:8000"), ("10.0.0.4", 8000))
 
+    def test_a_known_list_that_cannot_be_read_is_none(self):
+        for known in ({"revision": "x"}, {"members": [{"id": "be-1", "phase": "new"}]}, [], None, {"members": None}):
+            start = read(configured(known=known))
+            self.assertEqual((Post(start, 0, 0).state, start.members().revision), ({}, 0), known)
+        self.assertEqual(Post(read(configured()), 0, 0).state, {"be-1": "ready", "be-2": "ready"})
+
     def test_reports_do_not_pile_up_while_no_call_gets_through(self):
         post = Post(read(configured()), 0, 0)
         self.assertTrue(post.advance(0))            # the first tables wait for a relay that is not there
@@ -142,28 +152,89 @@
         self.assertEqual([("probes" in one, "peers" in one) for one in told], [(True, False), (False, True)])
 
 
+# stands in for a library: tells that it is being imported, waits for a signal, then makes way for the true one
+SLOW_IMPORT = """
+import signal, sys
+print("importing", file=sys.stderr, flush=True)
+signal.pause()
+sys.path.remove(%r)
+del sys.modules["structlog"]
+import structlog
+"""
+
+
 class Started(unittest.TestCase):
-    def test_the_program_by_its_signals(self):
+    @contextmanager
+    def program(self, slow=False, **more):
+        """(process, path of its configuration, logged): logged(word) is the next log line with that word. `slow`: its imports
+        stop until a signal."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "config.json")
-            path.write_bytes(configured())
-            env = {**os.environ, "ROUTER_CONFIG": str(path)}
+            path.write_bytes(configured(**more))
+            if slow:
+                Path(folder, "structlog.py").write_text(SLOW_IMPORT % folder)
+            env = {**os.environ, "ROUTER_CONFIG": str(path), "PYTHONPATH": folder}
             with subprocess.Popen([sys.executable, "-m", "embertray.node"], env=env, cwd=HERE.parent, stderr=subprocess.PIPE, text=True) as run:
                 def logged(word):
-                    for line in run.stderr:
-                        if word in line:
-                            return json.loads(line)
-                    return {}
-                self.assertIn("address", logged("listening"))
-                path.write_bytes(b"{")
+                    return next((line for line in run.stderr if word in line), "{}")
+                watchdog = threading.Timer(60, run.kill)        # a line that never comes: then the log ends
+                watchdog.start()
+                try:
+                    yield run, path, logged
+                finally:
+                    watchdog.cancel()
+                    run.kill()
+
+    def test_the_program_by_its_signals(self):
+        with self.program() as (run, path, logged):
+            self.assertIn("address", json.loads(logged("listening")))
+            path.write_bytes(b"{")
+            run.send_signal(signal.SIGHUP)
+            self.assertIn("why", json.loads(logged("can't be used")))
+            run.send_signal(signal.SIGTERM)
+            self.assertEqual(run.wait(timeout=20), 0)
+
+    def test_a_new_configuration_that_names_no_address_changes_nothing(self):
+        with self.program() as (run, path, logged):
+            logged("listening")
+            for bad in (configured(relay="nowhere"), configured(discovery="10.0.0.1")):
+                path.write_bytes(bad)
                 run.send_signal(signal.SIGHUP)
-                self.assertIn("why", logged("can't be used"))
-                run.send_signal(signal.SIGTERM)
-                self.assertEqual(run.wait(timeout=20), 0)
+                self.assertIn("is no address:port", json.loads(logged("can't be used"))["why"])
+            path.write_bytes(configured(relay="127.0.0.1:2"))
+            run.send_signal(signal.SIGHUP)
+            self.assertEqual(json.loads(logged("new configuration"))["relay"], "127.0.0.1:2")
+
+    def test_a_signal_ends_it_during_its_imports_and_one_after_the_other_does_no_more(self):
+        for slow, awaited in ((True, "importing"), (False, "listening")):
+            for one in (signal.SIGTERM, signal.SIGINT):
+                with self.program(slow) as (run, _, logged):
+                    self.assertIn(awaited, logged(awaited))
+                    run.send_signal(one)
+                    run.send_signal(one)
+                    self.assertEqual(run.wait(timeout=20), 0)
+                    self.assertNotIn("Traceback", run.stderr.read())
+
+    def test_a_hangup_during_its_imports_is_kept(self):
+        with self.program(slow=True) as (run, _, logged):
+            self.assertIn("importing", logged("importing"))
+            run.send_signal(signal.SIGHUP)
+            self.assertIn("discovery", json.loads(logged("new configuration")))
+
+    def test_a_thousand_connections_end_with_it(self):
+        with self.program(limits={"cores": 1.0, "memory_mb": 64, "sockets": 4096}) as (run, _, logged), ExitStack() as open_ones:
+            host, _, number = json.loads(logged("listening"))["address"].rpartition(":")
+            peers = [open_ones.enter_context(socket.create_connection((host, int(number)))) for _ in range(1000)]
+            for peer in peers:
+                peer.sendall(JOIN + b'{"@type":"hb"}\n')
+            self.assertEqual({peer.recv(100) for peer in peers}, {ALIVE})
+            run.send_signal(signal.SIGTERM)
+            self.assertEqual(run.wait(timeout=20), 0)
+            self.assertEqual({peer.recv(100) for peer in peers}, {b""})
 
     def test_a_bad_configuration_is_one_error(self):
         sliced = {**SETTINGS, "specifics": {**SETTINGS["specifics"], "partitions-n": 8}}
-        for data in (b"{", configured(listen="nowhere"), configured(settings={"specifics": {"agents": "x"}}), configured(settings=sliced)):
+        for data in (b"{", configured(listen="nowhere"), configured(relay="nowhere"), configured(discovery=":1"), configured(settings={"specifics": {"agents": "x"}}), configured(settings=sliced)):
             with tempfile.TemporaryDirectory() as folder:
                 Path(folder, "c").write_bytes(data)
                 done = subprocess.run([sys.executable, "-m", "embertray.node"], env={**os.environ, "ROUTER_CONFIG": str(Path(folder, "c"))},
