Test: the slow import waits for a line, so that no signal comes before its wait

Seen: test_a_hangup_during_its_imports_is_kept failed in one of two runs. Cause: its stand-in of a library announced itself and then called signal.pause(); a signal between the two was handled before the pause, which then waited for ever. The program is not at fault. It now waits for a line on standard input, which the test writes after the signal; as strict as before.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -152,11 +152,11 @@
         self.assertEqual([("probes" in one, "peers" in one) for one in told], [(True, False), (False, True)])
 
 
-# stands in for a library: tells that it is being imported, waits for a signal, then makes way for the true one
+# stands in for a library: tells that it is being imported, waits for a line, then makes way for the true one
 SLOW_IMPORT = """
-import signal, sys
+import sys
 print("importing", file=sys.stderr, flush=True)
-signal.pause()
+sys.stdin.readline()
 sys.path.remove(%r)
 del sys.modules["structlog"]
 import structlog
@@ -167,14 +167,15 @@
     @contextmanager
     def program(self, slow=False, **more):
         """(process, path of its configuration, logged): logged(word) is the next log line with that word. `slow`: its imports
-        stop until a signal."""
+        stop until its standard input has a line."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "config.json")
             path.write_bytes(configured(**more))
             if slow:
                 Path(folder, "structlog.py").write_text(SLOW_IMPORT % folder)
             env = {**os.environ, "ROUTER_CONFIG": str(path), "PYTHONPATH": folder}
-            with subprocess.Popen([sys.executable, "-m", "embertray.node"], env=env, cwd=HERE.parent, stderr=subprocess.PIPE, text=True) as run:
+            with subprocess.Popen([sys.executable, "-m", "embertray.node"], env=env, cwd=HERE.parent, stdin=subprocess.PIPE,
+                                  stderr=subprocess.PIPE, text=True) as run:
                 def logged(word):
                     return next((line for line in run.stderr if word in line), "{}")
                 watchdog = threading.Timer(60, run.kill)        # a line that never comes: then the log ends
@@ -219,6 +220,8 @@
         with self.program(slow=True) as (run, _, logged):
             self.assertIn("importing", logged("importing"))
             run.send_signal(signal.SIGHUP)
+            run.stdin.write("\n")
+            run.stdin.flush()
             self.assertIn("discovery", json.loads(logged("new configuration")))
 
     def test_a_thousand_connections_end_with_it(self):
