--- a/embertray/platform/port.py
+++ b/embertray/platform/port.py
@@ -64,7 +64,7 @@
     def __init__(self, now, zones, kinds, proxies):
         self.zones, self.kinds, self.proxies = zones, kinds, proxies
         self.joined, self.over, self.reply, self.held = None, "", b"", bytearray()
-        self.scanned, self.spoilt, self.why = 0, 0, ""      # bytes known to hold no line's end; reports passed over
+        self.scanned, self.spoilt, self.why, self.got = 0, 0, "", 0     # bytes known to hold no line's end; reports passed over; bytes before joining
         self.join_by = now + JOIN_WITHIN
 
     def late(self, now):
@@ -86,6 +86,7 @@
             self.over = "closed by the peer"
             return []
         self.held += data
+        self.got += len(data) if self.joined is None else 0
         found, at = [], 0
         while not self.over and (end := self.held.find(b"\n", max(at, self.scanned))) >= 0:
             line, at, self.scanned = bytes(self.held[at:end]), end + 1, 0
@@ -96,8 +97,10 @@
         if not self.over:
             del self.held[:at]
             self.scanned = len(self.held)
-            if len(self.held) > (STRANGER_BYTES if self.joined is None else LINE_MOST):
-                self.turn_away("a line too long")       # against messages without an end
+            if self.joined is None and self.got > STRANGER_BYTES:
+                self.turn_away("too much before joining")       # against messages without an end, or without number
+            elif len(self.held) > LINE_MOST:
+                self.turn_away("a line too long")
         return found
 
     def line(self, line, found):
@@ -117,7 +120,8 @@
         elif isinstance(message, Telemetry):
             if message.locality not in self.zones:
                 self.turn_away("a collector of a zone that is not there")
-            self.joined = message.locality
+            else:
+                self.joined = message.locality
         elif self.joined is None:
             self.turn_away("a report before joining")
         elif isinstance(message, UpstreamStats):
--- a/embertray/platform/post.py
+++ b/embertray/platform/post.py
@@ -7,9 +7,10 @@
 from ..drive import Drive
 from .calls import Caller
 from .discovery import Follow
-from .limits import SPARE, STRANGERS_PART, TIDY, WAITING_MOST
+from .limits import TIDY, WAITING_MOST
 from .news import Done, News, Standing
 from .port import Port
+from .room import Room
 from .start import without_words
 from .words import Words
 
@@ -25,7 +26,7 @@
         known = start.members()
         self.follow, self.tidy_at = Follow(known.revision), now + TIDY
         self.unknown = self.dropped = 0         # reports on nobody that a list ever had; reports that waited too long
-        self.strangers_most = max(16, min(int(start.limits.sockets * STRANGERS_PART), start.limits.sockets - SPARE))
+        self.room = Room(start.limits.sockets)
         self.news(now, "cached", wall, known.members)
 
     def port(self, now):
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -72,6 +72,20 @@
     return stream
 
 
+async def ended(stream):
+    """All that comes until the connection ends, and whether that was a reset."""
+    got = b""
+    try:
+        while True:
+            got += await stream.receive()
+    except anyio.EndOfStream:
+        return got, False
+    except anyio.BrokenResourceError:
+        return got, True
+    finally:
+        await stream.aclose()
+
+
 async def rest(stream):
     """All that comes until the connection is closed."""
     got = b""
--- a/tests/test_node_address.py
+++ b/tests/test_node_address.py
@@ -1,11 +1,22 @@
 """The controller's own address: its lines by bytes and times, and its connections on loopback."""
+import asyncio
+import json
+import os
+import resource
+import socket
+import subprocess
+import sys
+import tempfile
 import unittest
+from contextlib import ExitStack
+from pathlib import Path
 
 import anyio
 
 from embertray.platform import limits
 from embertray.platform.port import ALIVE, TURNED_AWAY
-from platform_stage import HEARD, JOIN, S, STATS, USAGE, client, port, rest, stage
+from embertray.platform.room import Room
+from platform_stage import HEARD, HERE, JOIN, S, STATS, USAGE, client, configured, ended, port, rest, stage
 
 
 class Lines(unittest.TestCase):
@@ -54,6 +65,36 @@
             one.receive(b"x" * 65536)
         self.assertEqual((one.over, len(one.held)), ("a line too long", 0))
 
+    def test_strangers_are_turned_away_for_lines_without_number_too(self):
+        for line in (b"\n", b'{"@type":"hb"}\n'):
+            one = port()
+            one.receive(line * (limits.STRANGER_BYTES // len(line)))
+            self.assertEqual(one.over, "")
+            one.receive(line * 2)
+            self.assertTrue(one.over)
+
+    def test_a_collector_of_no_zone_has_not_joined(self):
+        one = port()
+        one.receive(JOIN.replace(b"north", b"nowhere"))
+        self.assertEqual((one.joined, one.reply), (None, TURNED_AWAY))
+
+
+class Rooms(unittest.TestCase):
+    def test_who_told_least_lately_goes(self):
+        room = Room(64)
+        self.assertEqual((room.strangers_most, room.collectors_most), (16, 8))
+        self.assertEqual([room.joined(k) for k in range(8)], [None] * 8)
+        for k in (0, 1, 2, 0):
+            room.told(k)
+        self.assertEqual([room.joined(k) for k in range(8, 13)], [3, 4, 5, 6, 7])     # silent ones, the oldest first
+        for k in range(8, 13):
+            room.told(k)
+        self.assertEqual([room.joined(13), room.joined(14)], [1, 13])       # then by the last report; the newest silent one
+        room.told(1)                                                        # on its way out
+        room.left(2)
+        self.assertIsNone(room.joined(15))
+        self.assertEqual([Room(n).strangers_most + Room(n).collectors_most for n in (256, 1024)], [208, 976])
+
 
 class OnSockets(unittest.TestCase):
     def test_strangers_by_the_hundreds_are_closed_and_cost_nobody_else(self):
@@ -65,10 +106,78 @@
                 self.assertEqual(set(got), {TURNED_AWAY, ALIVE + TURNED_AWAY})
                 await collector.send(b'{"@type":"hb"}\n')
                 self.assertEqual(await collector.receive(), ALIVE)
-                self.assertEqual((service.clients.strangers, service.post.unknown), (0, 0))
+                self.assertEqual((len(service.clients.strangers), service.post.unknown), (0, 0))
                 await collector.aclose()
         anyio.run(play)
 
+    def test_valid_joins_by_the_hundreds_keep_no_collector_out(self):
+        async def play():
+            async with stage() as (service, relay, _):
+                async def joined(data=b""):
+                    stream = await client(service, JOIN + data + b'{"@type":"hb"}\n')
+                    self.assertEqual(await stream.receive(), ALIVE)
+                    return stream
+                collector, most = await joined(STATS), service.post.room.collectors_most
+                silent = [await joined() for _ in range(2 * most)]
+                self.assertEqual([await ended(stream) for stream in silent[:most + 1]], [(b"", False)] * (most + 1))
+                late = await joined(STATS)
+                relay.attach(1, "north")
+                await relay.until(lambda: relay.lines(1))           # a call had its descriptor
+                for stream in (collector, late):
+                    await stream.send(STATS + b'{"@type":"hb"}\n')
+                    self.assertEqual(await stream.receive(), ALIVE)
+                self.assertEqual(len(service.clients.scopes), most)
+                for stream in [collector, late, *silent]:
+                    await stream.aclose()
+        anyio.run(play)
+
+    def test_a_sign_of_life_is_answered_after_a_half_close_and_before_what_cannot_be_read(self):
+        async def play():
+            async with stage() as (service, _, _):
+                half = await client(service, b'{"@type":"hb"}\n')
+                await half.send_eof()
+                self.assertEqual(await ended(half), (ALIVE, False))
+                unfinished = await client(service, b'{"@type":"hb"}\n{"@type":"hb"}')
+                await unfinished.send_eof()
+                self.assertEqual(await ended(unfinished), (ALIVE, False))       # a line that was not ended is none
+                for _ in range(3):
+                    garbled = await client(service, b'{"@type":"hb"}\n\xff\n' + b"x" * 450_000)
+                    self.assertEqual(await ended(garbled), (ALIVE + TURNED_AWAY, False))
+        anyio.run(play)
+
+    def test_who_takes_no_replies_is_closed(self):
+        async def play():
+            async with stage() as (service, _, _):
+                with socket.socket() as deaf:
+                    deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                    host, _, number = service.address.rpartition(":")
+                    deaf.connect((host, int(number)))
+                    deaf.setblocking(False)
+                    loop = asyncio.get_running_loop()
+                    await loop.sock_sendall(deaf, JOIN)
+                    with self.assertRaises(OSError):
+                        while True:
+                            await loop.sock_sendall(deaf, b'{"@type":"hb"}\n' * 4000)
+        anyio.run(play)
+
+    def test_a_process_without_descriptors_takes_connections_again_later(self):
+        with tempfile.TemporaryDirectory() as folder, ExitStack() as open_ones:
+            Path(folder, "c").write_bytes(configured())
+            run = open_ones.enter_context(subprocess.Popen(
+                [sys.executable, "-m", "embertray.node"], env={**os.environ, "ROUTER_CONFIG": str(Path(folder, "c"))}, cwd=HERE.parent,
+                stderr=subprocess.PIPE, text=True, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40))))
+            open_ones.callback(run.kill)
+            line = next(line for line in run.stderr if "listening" in line)
+            host, _, number = json.loads(line)["address"].rpartition(":")
+
+            def dial():
+                return open_ones.enter_context(socket.create_connection((host, int(number)), 30))
+            strangers = [dial() for _ in range(120)]            # none says a word: each is turned away 1 s after it was taken
+            self.assertEqual({peer.recv(100) for peer in strangers}, {TURNED_AWAY})
+            last = dial()
+            last.sendall(b'{"@type":"hb"}\n')
+            self.assertEqual(last.recv(100), ALIVE)
+
 
 if __name__ == "__main__":
     unittest.main()
