--- a/tests/test_node_address.py
+++ b/tests/test_node_address.py
@@ -96,6 +96,40 @@
         self.assertEqual([Room(n).strangers_most + Room(n).collectors_most for n in (256, 1024)], [208, 976])
 
 
+class Wire:
+    """A stream by hand: gives its pieces one by one, then its end; keeps what was sent, and what was unread at the close."""
+
+    def __init__(self, *pieces):
+        self.pieces, self.sent, self.unread = list(pieces), b"", None
+
+    async def receive(self, _most=65536):
+        await anyio.lowlevel.checkpoint()
+        if not self.pieces:
+            raise anyio.EndOfStream
+        return self.pieces.pop(0)
+
+    async def send(self, data):
+        self.sent += data
+
+    async def send_eof(self):
+        self.sent += b"."
+
+    async def aclose(self):
+        self.unread = len(self.pieces)
+
+
+class Closed(unittest.TestCase):
+    def test_nothing_is_unread_when_a_stranger_is_closed_unless_it_never_ends(self):
+        async def play():
+            async with stage() as (service, _, _):
+                for pieces, unread in ((2, 0), (limits.PART_BYTES // 65536 + 3, 3)):
+                    wire, one = Wire(b'{"@type":"hb"}\n\xff\n', *[b"x" * 65536] * pieces), port()
+                    one.join_by = service.clock.now() + S
+                    await service.clients.client(one, wire)
+                    self.assertEqual((wire.sent, wire.unread), (ALIVE + TURNED_AWAY + b".", unread))
+        anyio.run(play)
+
+
 class OnSockets(unittest.TestCase):
     def test_strangers_by_the_hundreds_are_closed_and_cost_nobody_else(self):
         async def play():
