Discovery: no spin on an agent with nothing new, no old answer after a move, slow lists taken

(1) Probe, loopback, an agent that answers each watch at once with nothing new: 1,540 calls a second, 98% of a core (stand-ins included); wrong line: lists() asked again with no pause whenever an answer could be read, also while an older list is passed over (10 s). (3) An answer of the old address in the wake-up of the SIGHUP counted, and its whole list stood for the new address's. (4) A list that took over 0.7 s to come in was given up and asked for again, for ever. Excluded: answers cut after the headers, within the body, silent, closed right after: sound (test_a_drain_gets_through_however_the_answers_end; without the wait after a break it fails).

Now 20 to 150 ms before the next call after answers at once with nothing new (6.7 calls a second, 2.4% of a core), under the 200 ms in which a watch goes on; an older list elsewhere is passed over like anywhere; an answer counts only for the address that was asked; a list has 2 s from its beginning.

--- a/embertray/net/http.py
+++ b/embertray/net/http.py
@@ -82,12 +82,14 @@
             return None
         raise CallFailed("the connection was closed within an answer", True)
 
-    async def answer(self, within, most):
-        """(status, body) of the whole answer. Raises CallFailed; `within` ns, `most` bytes."""
+    async def answer(self, within, most, whole=0):
+        """(status, body) of the whole answer. Raises CallFailed; `within` ns, or `whole` ns from its beginning if that is
+        later, `most` bytes."""
         body = bytearray()
         try:
-            with anyio.fail_after(within / 1e9):
+            with anyio.fail_after(within / 1e9) as limit:
                 status = await self.begin()
+                limit.deadline = max(limit.deadline, anyio.current_time() + whole / 1e9)
                 while (part := await self.data()) is not None:
                     body += part
                     if len(body) > most:
--- a/embertray/node/service.py
+++ b/embertray/node/service.py
@@ -8,7 +8,7 @@
 from ..net.http import CallFailed, Talk
 from ..platform.calls import CALLS, FORM, Unreadable
 from ..platform.discovery import Unreadable as BadList
-from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LIST_MOST, LOOK, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST,
+from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LIST_MOST, LIST_WHOLE, LOOK, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST,
                                SEND_WITHIN, STREAMS)
 from ..platform.news import STREAM
 from ..platform.post import Post
@@ -206,9 +206,10 @@
             with anyio.CancelScope() as self.watching:
                 talk = None
                 try:
-                    talk = await Talk.dial(self.net, self.start.discovery, CONNECT_WITHIN)
+                    talk = await Talk.dial(self.net, address := self.start.discovery, CONNECT_WITHIN)
                     while True:
-                        await self.list_call(talk, follow)
+                        await self.list_call(talk, follow, address)
+                        await anyio.sleep(follow.pause() / 1e9)
                         if not talk.again():
                             break
                 except (CallFailed, BadList) as wrong:
@@ -219,10 +220,12 @@
                     if talk:
                         await talk.aclose()
 
-    async def list_call(self, talk, follow):
-        path, within = follow.ask()
+    async def list_call(self, talk, follow, address):
+        path, within = follow.ask(self.clock.now())
         await talk.ask("GET", path, SEND_WITHIN)
-        status, body = await talk.answer(within, LIST_MOST)
+        status, body = await talk.answer(within, LIST_MOST, LIST_WHOLE)
+        if self.start.discovery != address:     # against an answer that came in the same wake-up as another address
+            return
         now = self.clock.now()
         if got := follow.heard(now, status, body):
             self.post.news(now, got[0], self.clock.wall(), got[1])
--- a/embertray/platform/discovery.py
+++ b/embertray/platform/discovery.py
@@ -4,7 +4,7 @@
 import msgspec
 from msgspec import Meta
 
-from .limits import AGAIN_FIRST, AGAIN_MOST, HOLD, LIST_MOST, LIST_WITHIN, MS, OLD_MOST, WORD_MOST
+from .limits import AGAIN_FIRST, AGAIN_MOST, HOLD, LIST_MOST, LIST_WITHIN, MS, OLD_MOST, STILL_MOST, WORD_MOST
 
 PATH = "/catalog/members"
 Name = Annotated[str, Meta(min_length=1, max_length=WORD_MOST)]
@@ -43,16 +43,24 @@
 
     def __init__(self, revision=0):
         self.revision, self.fails, self.old_since, self.whole = revision, 0, None, True
+        self.asked, self.still = 0, 0       # when the last call went; calls in a row that were answered at once with nothing new
 
-    def ask(self):
-        """(path, ns within which an answer must come). The first call wants the whole list, at once."""
+    def ask(self, now):
+        """(path, ns within which an answer must begin). The first call wants the whole list, at once."""
+        self.asked = now
         if self.whole:
             return PATH, LIST_WITHIN
         return f"{PATH}?from={self.revision}&hold_ms={HOLD // MS}", HOLD + LIST_WITHIN
 
     def elsewhere(self):
-        """Discovery has another address: what it says there counts, whatever its version."""
-        self.whole, self.old_since = True, 0
+        """Discovery has another address: it is asked for the whole list. Versions are those of one list, wherever it is asked
+        for, so an agent there that lags takes back nothing either."""
+        self.whole = True
+
+    def pause(self):
+        """ns until the next call: against an agent that answers each call at once with what we have, which would take all
+        our processor time."""
+        return min(STILL_MOST, AGAIN_FIRST << min(self.still - 1, 6)) if self.still else 0
 
     def heard(self, now, status, body):
         """('whole' | 'changes', members), or None for nothing new. Raises Unreadable."""
@@ -63,6 +71,7 @@
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as wrong:
             raise Unreadable(str(wrong)) from None
         self.fails = 0
+        self.still = self.still + 1 if got.revision <= self.revision and now < self.asked + HOLD // 2 else 0
         if not got.complete and self.whole:
             raise Unreadable("changes where the whole list was asked for")
         if got.revision < self.revision:
@@ -73,6 +82,7 @@
             if not got.complete:
                 self.whole = True
                 return None
+            self.still = 0
         self.revision, self.whole, self.old_since = got.revision, False, None
         if not got.complete and not got.members:
             return None
--- a/embertray/platform/limits.py
+++ b/embertray/platform/limits.py
@@ -40,7 +40,8 @@
 STILL_MOST = 150 * MS    # ns, from AGAIN_FIRST on, before the next call after answers at once that told nothing new; a watch
                          # goes on if asked again within 200 ms
 HOLD = 2000 * MS         # ns that a watch may wait; an agent that went silent is noticed this much later
-LIST_WITHIN = 700 * MS   # ns beyond the hold for an answer: it comes from the same machine
+LIST_WITHIN = 700 * MS   # ns beyond the hold for an answer to begin: it comes from the same machine
+LIST_WHOLE = 2000 * MS   # ns from its beginning for all of it: on a slow connection it counts as told that long after the hold
 LIST_MOST = 8 << 20      # bytes of an answer: 40,000 backends
 OLD_MOST = 10 * S        # ns that lists older than the one held are passed over; then discovery began anew
 
