Faults of ours: one in a step or a task is told in the log and ends nothing

Need: nothing ends the process but SIGTERM, SIGINT and a start that can't be used; an exception that nobody caught in the module, a call, a list or the news ended it with a trace (the ValueError of a spoilt count was one). Each task goes on 0.5 s later with its trace in the log; after a fault within a step a new module is told what stands (list, joined proxies) and gets new table numbers, as the half-done one can't be trusted; a list or a connection with news at which it came is taken anew.

--- a/embertray/node/service.py
+++ b/embertray/node/service.py
@@ -8,7 +8,7 @@
 from ..net.http import CallFailed, Talk
 from ..platform.calls import CALLS, FORM, Unreadable
 from ..platform.discovery import Unreadable as BadList
-from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, GATHER, LIST_MOST, LIST_WHOLE, LOOK, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST,
+from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, FAULT_WAIT, GATHER, LIST_MOST, LIST_WHOLE, LOOK, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST,
                                SEND_WITHIN, STREAMS)
 from ..platform.news import STREAM
 from ..platform.post import Post
@@ -40,12 +40,12 @@
             async with anyio.create_task_group() as group:
                 if early:
                     await group.start(self.hangups, early)
-                group.start_soon(self.clients.accept, listener, group)
-                group.start_soon(self.pump)
-                group.start_soon(self.calls)
-                group.start_soon(self.lists)
+                group.start_soon(self.kept, self.clients.accept, listener, group)
+                group.start_soon(self.kept, self.pump)
+                group.start_soon(self.kept, self.calls)
+                group.start_soon(self.kept, self.lists)
                 for name in range(STREAMS):
-                    group.start_soon(self.news, name)
+                    group.start_soon(self.kept, self.news, name)
                 self.log.info("listening", address=self.address, list=len(self.post.state))
                 task_status.started(self.address)
                 await anyio.sleep_forever()
@@ -53,6 +53,15 @@
             with anyio.CancelScope(shield=True):
                 await listener.aclose()
 
+    async def kept(self, work, *given):
+        """Runs `work` again and again: a fault of ours in it is told in the log, and costs what it was at, not the process."""
+        while True:
+            try:
+                await work(*given)
+            except Exception as wrong:      # against what we have not thought of
+                self.log.error("a fault of ours", at=work.__name__, exc_info=wrong)
+                await anyio.sleep(FAULT_WAIT / 1e9)
+
     async def hangups(self, early, *, task_status):
         with anyio.open_signal_receiver(signal.SIGHUP) as came:
             if early.kept:
@@ -96,8 +105,12 @@
         while True:
             self.poked = anyio.Event()
             now = self.clock.now()
-            if self.post.advance(now):
-                self.called.set()
+            try:
+                if self.post.advance(now):
+                    self.called.set()
+            except Exception:       # against a fault within a step: who knows what it left half done
+                self.post.anew(now)
+                raise
             said, self.post.said = self.post.said, []
             for text in said:
                 self.log.info("decision", says=text)
@@ -156,7 +169,8 @@
                 except (CallFailed, Unreadable) as wrong:
                     if not fails & (fails - 1):
                         self.log.info("news broke", stream=name, why=str(wrong))
-            self.relayed(self.post.standing.lost(self.clock.now(), name))
+                finally:
+                    self.relayed(self.post.standing.lost(self.clock.now(), name))
             lasted = self.clock.now() - began > 2 * QUIET_BESIDE
             wait, fails = (REDIAL, 0) if lasted else (min(REDIAL_MOST, 2 * wait), fails + 1)
             await anyio.sleep(wait / 1e9)
@@ -216,6 +230,9 @@
                     if follow.fails < 3:            # the first ones: an outage is not told every 2 s
                         self.log.info("the list did not answer", why=str(wrong))
                     await anyio.sleep(follow.broke() / 1e9)
+                except Exception:       # against a fault of ours halfway through a list
+                    follow.elsewhere()
+                    raise
                 finally:
                     if talk:
                         await talk.aclose()
--- a/embertray/platform/limits.py
+++ b/embertray/platform/limits.py
@@ -46,6 +46,7 @@
 OLD_MOST = 10 * S        # ns that lists older than the one held are passed over; then discovery began anew
 
 # -- the process
+FAULT_WAIT = 500 * MS    # ns before what had a fault of ours goes on: against a fault that comes at once again
 GATHER = 4 * MS          # ns between steps: what comes together is one step
 WAITING_MOST = 8000      # events that wait while no call gets through: a minute and more of reports; older ones tell nothing
 TIDY = 10 * S            # ns between looks for ids that nothing needs any more: as often as the module's sweep
--- a/embertray/platform/post.py
+++ b/embertray/platform/post.py
@@ -4,6 +4,7 @@
 """
 from .. import interface as i
 from ..briefing import Briefing
+from ..choice import Controller
 from ..drive import Drive
 from .calls import Caller
 from .discovery import Follow
@@ -20,7 +21,7 @@
 
     def __init__(self, start, now, wall):
         self.told = Briefing.nested(start.settings)
-        self.said = without_words(self.told)
+        self.said, self.chance = without_words(self.told), start.chance
         super().__init__(start.chance, self.told.deployment, now)
         self.words, self.caller, self.standing = Words(self.door, self.told.kinds), Caller(self.module.site.way_max), Standing()
         known = start.members()
@@ -69,6 +70,17 @@
             self.said += said
         return not self.caller.idle
 
+    def anew(self, now):
+        """A new module in place of one that had a fault within a step, told what stands. Its tables get new numbers, so that no
+        line of the former ones is left to anybody who is bound."""
+        listed = [i.Entry(be.handle, be.zone, be.state, be.started) for be in self.module.bes if be.state not in (None, "gone")]
+        for known in (self.door.backends, self.door.proxies):
+            for handle in known.values():
+                handle.actor = None
+        self.chance += 1
+        self.module, self.wakes, self.door.marks = Controller(self.chance, self.told.deployment(self.door), now), [], {}
+        self.todo = [i.ListNews("cached", listed), *map(self.words.news, self.standing.joined.values())]
+
     def tidy(self):
         """Who is long gone is forgotten, and marks that nobody owes an answer to."""
         self.forget(lambda thing: thing.door in self.standing.joined)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -118,6 +118,38 @@
                 self.assertEqual(set(service.post.standing.joined), {1, 2})
         anyio.run(play)
 
+    def test_a_fault_of_ours_in_a_step_or_a_task_ends_nothing(self):
+        async def play():
+            async with stage() as (service, relay, discovery):
+                for node in range(3):
+                    relay.attach(node, "north")
+                await relay.until(lambda: all(len(relay.lines(node)) == 2 for node in range(3)))
+                old, tables = service.post.module, set(relay.tables)
+
+                def fault(*_):
+                    raise KeyError("a fault")
+                old.planner.on_solve = fault                    # in the middle of a step: some parts have acted, some not
+                discovery.change("be-3", **member("be-3"))
+                await relay.until(lambda: all(len(relay.lines(node)) == 3 for node in range(3)))
+                self.assertIsNot(service.post.module, old)
+                self.assertFalse({relay.bound[node] for node in range(3)} & tables)
+                discovery.change("be-1", phase="draining")
+                await relay.until(lambda: all(set(relay.lines(node)) == {"be-2", "be-3"} for node in range(3)))
+                for part, name, poke in ((service.post.caller, "answered", lambda: discovery.change("be-4", **member("be-4"))),
+                                         (service.post.follow, "heard", lambda: discovery.change("be-4", **member("be-4"))),
+                                         (service.post.standing, "took", lambda: relay.attach(3, "south"))):
+                    faulty = anyio.Event()
+
+                    def once(*_, part=part, name=name, faulty=faulty):
+                        delattr(part, name)
+                        faulty.set()
+                        raise KeyError("a fault")
+                    setattr(part, name, once)
+                    poke()
+                    await faulty.wait()
+                await relay.until(lambda: all("be-4" in relay.lines(node) for node in range(4)))
+        anyio.run(play)
+
     def test_a_new_configuration_moves_to_other_addresses(self):
         async def play():
             async with stage() as (service, relay, discovery), anyio.create_task_group() as group:
