--- a/embertray/node/service.py
+++ b/embertray/node/service.py
@@ -6,14 +6,12 @@
 
 from ..net.address import BadAddress
 from ..net.http import CallFailed, Talk
-from ..platform.calls import CALLS, FORM, Unreadable
 from ..platform.discovery import Unreadable as BadList
-from ..platform.limits import (ANSWER_MOST, ANSWER_WITHIN, CONNECT_WITHIN, FAULT_WAIT, GATHER, LIST_MOST, LIST_WHOLE, LOOK, MS, QUIET_BESIDE, REDIAL, REDIAL_MOST,
-                               SEND_WITHIN, STREAMS)
-from ..platform.news import STREAM
+from ..platform.limits import CONNECT_WITHIN, FAULT_WAIT, GATHER, LIST_MOST, LIST_WHOLE, SEND_WITHIN, STREAMS
 from ..platform.post import Post
 from ..platform.start import BadStart
 from .clients import Clients
+from .relay import Relay
 
 
 class Service:
@@ -23,9 +21,10 @@
         self.start, self.clock, self.net, self.load = start, clock, net, load
         self.log = (log or structlog.get_logger()).bind(controller=start.name)
         self.post = Post(start, clock.now(), clock.wall())
-        self.poked, self.called = anyio.Event(), anyio.Event()
+        self.poked = anyio.Event()
         self.clients = Clients(self.post, clock, self.poke, self.log)
-        self.streams, self.watching = {}, None          # cancel scopes: of connections with news, of the list's call
+        self.relay = Relay(self.post, clock, lambda: Talk.dial(net, self.start.store.address, CONNECT_WITHIN), self.poke, self.log)
+        self.watching = None        # the cancel scope of the list's call
         self.address = None
 
     # ---- lifecycle
@@ -42,10 +41,10 @@
                     await group.start(self.hangups, early)
                 group.start_soon(self.kept, self.clients.accept, listener, group)
                 group.start_soon(self.kept, self.pump)
-                group.start_soon(self.kept, self.calls)
+                group.start_soon(self.kept, self.relay.calls)
                 group.start_soon(self.kept, self.lists)
                 for name in range(STREAMS):
-                    group.start_soon(self.kept, self.news, name)
+                    group.start_soon(self.kept, self.relay.news, name)
                 self.log.info("listening", address=self.address, list=len(self.post.state))
                 task_status.started(self.address)
                 await anyio.sleep_forever()
@@ -90,10 +89,8 @@
             if self.watching:
                 self.watching.cancel()
         if new.store.address != old.store.address:
-            # one connection goes over now; the leader's is closed by the old relay once the other has opened
-            for name in [n for n in self.streams if n is not self.post.standing.leader]:
-                self.streams[name].cancel()
-        self.called.set()
+            self.relay.moved()
+        self.relay.called.set()
 
     # ---- the module
 
@@ -107,7 +104,7 @@
             now = self.clock.now()
             try:
                 if self.post.advance(now):
-                    self.called.set()
+                    self.relay.called.set()
             except Exception:       # against a fault within a step: who knows what it left half done
                 self.post.anew(now)
                 raise
@@ -121,96 +118,6 @@
                     await self.poked.wait()
             await self.clock.sleep_until(now + GATHER)
 
-    # ---- calls
-
-    async def calls(self):
-        """One call in flight, each on a connection of its own: one that does not come up has carried nothing."""
-        caller = self.post.caller
-        while True:
-            self.called = anyio.Event()
-            now = self.clock.now()
-            if (call := caller.due(now)) is None:
-                if caller.idle:
-                    self.poke()
-                    await self.called.wait()
-                else:
-                    with anyio.move_on_after(max(0, caller.at - now) / 1e9):
-                        await self.called.wait()
-                continue
-            try:
-                status, body = await self.one_call(call)
-                said = caller.answered(self.clock.now(), status, body)
-            except CallFailed as wrong:
-                said = caller.broke(self.clock.now(), wrong.sent, str(wrong))
-            if said and not caller.fails & (caller.fails - 1):      # of an outage the 1st, 2nd, 4th, 8th ... is told
-                self.log.info("call", why=said, orders=len(call.orders), mark=call.mark, failed=caller.fails)
-
-    async def one_call(self, call):
-        talk, reset = await Talk.dial(self.net, self.start.store.address, CONNECT_WITHIN), True
-        try:
-            await talk.ask("POST", CALLS, SEND_WITHIN, call.body(), FORM)
-            answer = await talk.answer(ANSWER_WITHIN, ANSWER_MOST)
-            reset = False
-            return answer
-        finally:
-            await talk.aclose(reset)
-
-    # ---- news
-
-    async def news(self, name):
-        """Keeps one connection with the relay's news, again and again."""
-        wait, fails = REDIAL, 0
-        while True:
-            began = self.clock.now()
-            with anyio.CancelScope() as scope:
-                self.streams[name] = scope
-                try:
-                    await self.listen_to(name)
-                except (CallFailed, Unreadable) as wrong:
-                    if not fails & (fails - 1):
-                        self.log.info("news broke", stream=name, why=str(wrong))
-                finally:
-                    self.relayed(self.post.standing.lost(self.clock.now(), name))
-            lasted = self.clock.now() - began > 2 * QUIET_BESIDE
-            wait, fails = (REDIAL, 0) if lasted else (min(REDIAL_MOST, 2 * wait), fails + 1)
-            await anyio.sleep(wait / 1e9)
-
-    async def listen_to(self, name):
-        standing, reader = self.post.standing, self.post.stream()
-        talk = await Talk.dial(self.net, self.start.store.address, CONNECT_WITHIN)
-        try:
-            await talk.ask("GET", STREAM, SEND_WITHIN)
-            standing.opened(self.clock.now(), name)
-            status = None
-            while True:
-                data = None
-                with anyio.move_on_after(self.beat() / 1e9):
-                    if status is None and (status := await talk.begin()) != 200:
-                        raise CallFailed(f"status {status}", True)
-                    data = await talk.data()
-                    if data is None:
-                        raise CallFailed("ended", True)
-                now = self.clock.now()
-                if data is not None:
-                    self.relayed(standing.took(now, name, reader.receive(data)))
-                else:
-                    self.relayed(standing.lead(now))
-                    if why := standing.quiet(now, name):
-                        raise CallFailed(why, True)
-        finally:
-            await talk.aclose()
-
-    def beat(self):
-        """ns until a connection with news is looked at again, if it brings nothing."""
-        due = self.post.standing.next_at()
-        return LOOK if due is None else max(MS, min(LOOK, due - self.clock.now()))
-
-    def relayed(self, found):
-        if found:
-            if self.post.relayed(found):
-                self.called.set()
-            self.poke()
-
     # ---- the list
 
     async def lists(self):
