Tests: calls, signals, starts and last bytes forced to cross on loopback

New: answers cut, silent or a byte at a time; an order refused first, in the middle, last; a step in several calls of which any is lost; a start with discovery silent and the relay throttling; a call in flight at a SIGHUP, and addresses back and forth; a process killed and started again three times on its port with 50 connections open; reports with a connection's last bytes. The stand-ins end answers at a named byte and refuse named orders.

--- a/embertray/standin/platform.py
+++ b/embertray/standin/platform.py
@@ -127,12 +127,13 @@
 
 class StandinRelay(Party):
     """Takes calls and tells news. `mood`: what it does with the next calls, one word each: ok | lose (no answer, not carried
-    out) | mute (carried out, no answer) | spoil (carried out, unreadable answer) | throttled."""
+    out) | mute (carried out, no answer) | spoil (carried out, unreadable answer) | cut (carried out, the answer broken off) | stall
+    (carried out, silent) | slow (a byte at a time) | throttled. `refuse(order)`: whether an order is refused."""
 
     def __init__(self, net, answers=True):
         super().__init__(net)
         self.joined, self.tables, self.bound, self.out, self.mood, self.calls = {}, {}, {}, set(), [], []
-        self.answers, self.streams, self.levels = answers, [], {}
+        self.answers, self.streams, self.levels, self.refuse = answers, [], {}, lambda order: False
 
     # ---- proxies
 
@@ -176,8 +177,16 @@
             elif mood in ("lose", "mute"):
                 return
             else:
-                text = f"<Response><items><item><ok_count>{count}</ok_count></item></items></Response>"
-                await side.answer(text.encode() if mood == "ok" else b"<Response><items><it\xff")
+                body = b"<Response><items><it\xff"
+                if mood != "spoil":
+                    body = f"<Response><items><item><ok_count>{count}</ok_count></item></items></Response>".encode()
+                await side.answer(body, upto={"cut": len(body) // 2, "stall": 0, "slow": 0}.get(mood))
+                for byte in body if mood == "slow" else ():
+                    await side.stream.send(bytes([byte]))
+                if mood == "stall":
+                    await anyio.sleep_forever()
+                if mood == "cut":
+                    return
 
     async def stream(self, side):
         queue = [f"event: attach\ndata: {text}\n\n".encode() for text in self.joined.values()]
@@ -200,6 +209,8 @@
         reached = set()
         for count, order in enumerate(orders):
             try:
+                if self.refuse(order):
+                    raise KeyError(order)
                 self.carry(order.split(","), reached)
             except (KeyError, ValueError, IndexError):
                 return count
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -49,8 +49,8 @@
 
 
 @asynccontextmanager
-async def stage(**more):
-    """A running Service with its stand-ins: (service, relay, discovery)."""
+async def stage(before=lambda relay, discovery: None, **more):
+    """A running Service with its stand-ins, prepared by `before`: (service, relay, discovery)."""
     net = TcpNet()
     discovery = StandinDiscovery(net, {name: member(name, zone) for name, zone in (("be-1", "north"), ("be-2", "south"))})
     relay = StandinRelay(net)
@@ -58,6 +58,7 @@
         await group.start(discovery.run)
         await group.start(relay.run)
         data = configured(relay.address, discovery.address, **more)
+        before(relay, discovery)
         service = Service(read(data), LoopClock(), net, lambda: read(data), quiet())
         await group.start(lambda **kw: service.run(**kw))
         with anyio.fail_after(30):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 import unittest
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
+from unittest import mock
 
 import anyio
 
@@ -23,7 +24,7 @@
 from embertray.platform.post import Post
 from embertray.platform.start import BadStart, read
 from embertray.standin.platform import StandinDiscovery, StandinRelay
-from platform_stage import HEARD, HERE, JOIN, S, SETTINGS, configured, member, stage
+from platform_stage import HEARD, HERE, JOIN, S, SETTINGS, client, configured, member, stage
 
 
 class Told(unittest.TestCase):
@@ -94,19 +95,70 @@
                 await relay.until(lambda: relay.calls)
                 relay.attach(1, "north")
                 await relay.until(lambda: relay.lines(1))
-                for mood, times in (("lose", 2), ("mute", 1), ("spoil", 1), ("throttled", 2)):
+                for mood, times in (("lose", 2), ("mute", 1), ("spoil", 1), ("cut", 1), ("stall", 1), ("slow", 1), ("throttled", 2)):
                     relay.mood, name, before = [mood] * times, f"new-{mood}", len(relay.calls)
                     discovery.change(name, locality="north", up_since_ms=0)
                     await relay.until(lambda: name in relay.lines(1) and not relay.mood)
                     # evidence spares a call that was carried out its repeat
                     first = relay.calls[before][1]
                     repeats = sum(orders == first for _, orders in relay.calls[before + 1:])
-                    self.assertEqual(repeats, 0 if mood in ("mute", "spoil") else times)
+                    self.assertEqual(repeats, times if mood in ("lose", "throttled") else 0)
                     discovery.change(name, phase="gone")
                     await relay.until(lambda: name not in relay.lines(1))
                 self.assertEqual(service.post.caller.lost, 0)
         anyio.run(play)
 
+    def test_a_refused_order_costs_itself_wherever_it_stands(self):
+        async def play():
+            async with stage() as (service, relay, discovery):
+                relay.attach(1, "north")
+                await relay.until(lambda: relay.lines(1))
+                for place in range(3):
+                    names, seen = [f"new-{place}-{k}" for k in range(3)], []
+
+                    def refuse(order):
+                        if order.startswith(f"SET,{relay.bound[1]},new-"):
+                            seen.append(order)
+                            return len(seen) == place + 1
+                        return False
+                    relay.refuse = refuse
+                    for name in names:
+                        discovery.members[name] = member(name)
+                        discovery.log.append((discovery.revision + 1, name))
+                    discovery.change(names[0])
+                    await relay.until(lambda: len(service.post.caller.refused) == place + 1 and service.post.caller.idle
+                                      and sum(name in relay.lines(1) for name in names) == 2)
+                    self.assertEqual(service.post.caller.refused[place], seen[place])
+        anyio.run(play)
+
+    def test_a_step_in_several_calls_survives_the_loss_of_any(self):
+        async def play():
+            with mock.patch("embertray.platform.calls.ORDERS_MOST", 150):
+                async with stage() as (service, relay, _):
+                    await relay.until(lambda: len(relay.streams) == limits.STREAMS and relay.calls)
+                    while service.post.module.channel.queue or not service.post.caller.idle:
+                        await anyio.sleep(0.05)
+                    relay.mood, before = ["lose", "ok", "mute", "spoil", "lose", "lose"], len(relay.calls)
+                    for node in range(24):
+                        relay.attach(node, "north")
+                    await relay.until(lambda: all(relay.lines(node) for node in range(24)) and not relay.mood)
+                    self.assertFalse(any(order.startswith("SYNC") for order in relay.calls[before][1]))     # a part was lost
+                    self.assertEqual(relay.calls[before + 1][1], relay.calls[before][1])                    # and goes again first
+                    self.assertEqual((service.post.caller.lost, service.post.caller.refused), (0, []))
+        anyio.run(play)
+
+    def test_it_is_ready_while_discovery_is_silent_and_the_relay_takes_nothing(self):
+        async def play():
+            async with stage(lambda relay, discovery: (setattr(discovery, "down", True), relay.mood.extend(["throttled"] * 9))) as (
+                    service, relay, _):
+                alive = await client(service, b'{"@type":"hb"}\n')
+                self.assertEqual(await alive.receive(), ALIVE)
+                relay.attach(1, "north")
+                await relay.until(lambda: set(relay.lines(1)) == {"be-1", "be-2"})      # by the list that it was told at its start
+                self.assertEqual(relay.mood, [])
+                await alive.aclose()
+        anyio.run(play)
+
     def test_news_go_on_when_a_connection_breaks(self):
         async def play():
             async with stage() as (service, relay, _):
@@ -173,6 +225,29 @@
                 group.cancel_scope.cancel()
         anyio.run(play)
 
+    def test_a_call_that_is_in_flight_at_a_new_address_is_carried_out_there_and_back_again(self):
+        async def play():
+            async with stage() as (service, relay, discovery), anyio.create_task_group() as group:
+                relay.attach(1, "north")
+                await relay.until(lambda: relay.lines(1))
+                other = StandinRelay(TcpNet())
+                other.joined, other.tables, other.bound = relay.joined, relay.tables, relay.bound
+                await group.start(other.run)
+                for there, here, name in ((other, relay, "be-3"), (relay, other, "be-4")):
+                    here.mood, before = ["lose"], len(here.calls)
+                    discovery.change(name, **member(name))
+                    await here.until(lambda: len(here.calls) > before)
+                    for address in (here.address, there.address, here.address, there.address):     # the last one counts
+                        service.load = lambda: read(configured(address, discovery.address))
+                        service.reload()
+                    await there.until(lambda: name in there.lines(1))
+                    for stream in list(here.open):
+                        await anyio.aclose_forcefully(stream)
+                    await there.until(lambda: len(there.streams) == limits.STREAMS)
+                group.cancel_scope.cancel()
+        anyio.run(play)
+
+
 class Wordless(unittest.TestCase):
     def test_slices_are_refused_and_permissions_go_unused(self):
         def post(**more):
@@ -256,6 +331,20 @@
             run.stdin.flush()
             self.assertIn("discovery", json.loads(logged("new configuration")))
 
+    def test_it_starts_again_at_once_where_it_was_killed(self):
+        with ExitStack() as open_ones:
+            with socket.create_server(("127.0.0.1", 0)) as free:
+                listen = f"127.0.0.1:{free.getsockname()[1]}"
+            for _ in range(3):
+                with self.program(listen=listen) as (run, _, logged):
+                    self.assertEqual(json.loads(logged("listening"))["address"], listen)
+                    peers = [open_ones.enter_context(socket.create_connection(("127.0.0.1", int(listen[10:])))) for _ in range(50)]
+                    for peer in peers:
+                        peer.sendall(JOIN + b'{"@type":"hb"}\n')
+                    self.assertEqual({peer.recv(100) for peer in peers}, {ALIVE})
+                    run.kill()
+                    run.wait(timeout=20)
+
     def test_a_thousand_connections_end_with_it(self):
         with self.program(limits={"cores": 1.0, "memory_mb": 64, "sockets": 4096}) as (run, _, logged), ExitStack() as open_ones:
             host, _, number = json.loads(logged("listening"))["address"].rpartition(":")
--- a/tests/test_node_address.py
+++ b/tests/test_node_address.py
@@ -179,6 +179,20 @@
                     self.assertEqual(await ended(garbled), (ALIVE + TURNED_AWAY, False))
         anyio.run(play)
 
+    def test_what_comes_with_the_end_of_a_connection_counts(self):
+        async def play():
+            async with stage() as (service, _, _):
+                for k, reset in enumerate((False, True)):
+                    collector = await client(service, JOIN + b'{"@type":"hb"}\n')
+                    self.assertEqual(await collector.receive(), ALIVE)
+                    await collector.send(STATS.replace(b"be-1", b"nobody") + b'{"unfinished')
+                    if reset:
+                        await collector.send(b"\xff\n")        # what can't be read ends it; what came before counts
+                    await collector.send_eof()
+                    self.assertEqual(await ended(collector), (b"", False))
+                    self.assertEqual(service.post.unknown, k + 1)
+        anyio.run(play)
+
     def test_who_takes_no_replies_is_closed(self):
         async def play():
             async with stage() as (service, _, _):
