Rename: nonce for the number of a mark, proxy and backend in the platform's files

Need: the field's terms in code that is touched. Names only: platform/calls, news, words, post and node/relay; the log's field of a call is 'nonce' now.

--- a/embertray/node/relay.py
+++ b/embertray/node/relay.py
@@ -43,7 +43,7 @@
             except CallFailed as wrong:
                 said = caller.broke(self.clock.now(), wrong.sent, str(wrong))
             if said and not caller.fails & (caller.fails - 1):      # of an outage the 1st, 2nd, 4th, 8th ... is told
-                self.log.info("call", why=said, orders=len(call.orders), mark=call.mark, failed=caller.fails)
+                self.log.info("call", why=said, orders=len(call.orders), nonce=call.nonce, failed=caller.fails)
 
     async def one_call(self, call):
         talk, reset = await self.dial(), True
--- a/embertray/platform/calls.py
+++ b/embertray/platform/calls.py
@@ -34,12 +34,12 @@
 
 
 class Call:
-    """One step's orders, or the rest of them; `mark`: the number that the proxies answer, or None."""
+    """One step's orders, or the rest of them; `nonce`: the number that the proxies answer, or None."""
 
-    __slots__ = ("orders", "mark", "rejects")
+    __slots__ = ("orders", "nonce", "rejects")
 
-    def __init__(self, orders, mark=None):
-        self.orders, self.mark, self.rejects = orders, mark, 0
+    def __init__(self, orders, nonce=None):
+        self.orders, self.nonce, self.rejects = orders, nonce, 0
 
     def body(self):
         return urlencode({"Action": "CommitChanges", "orders": ";".join(self.orders)}).encode()
@@ -47,7 +47,7 @@
 
 class Caller:
     """`way`: the longest that a message takes to a proxy, ns. A call is `due(now)`, goes out, and one of `answered`, `broke`
-    ends it. Unanswered ones were carried out or not: the answer to the call's mark tells; without it for long enough the
+    ends it. Unanswered ones were carried out or not: the answer to the call's nonce tells; without it for long enough the
     call goes out again, which changes nothing twice, as every order names what is to stand."""
 
     def __init__(self, way):
@@ -58,7 +58,7 @@
     def idle(self):
         return not self.queue
 
-    def put(self, orders, mark=None, sync=None):
+    def put(self, orders, nonce=None, sync=None):
         """A step's orders as text, in order; `sync`: builds the order for an answer, given 1 for all proxies."""
         part, size = [], 0
         for order in orders:
@@ -71,7 +71,7 @@
             # in several calls the last one's answer stands for all: it goes to every proxy
             part.append(sync(int(len(orders) > len(part))))
         if part:
-            self.queue.append(Call(part, mark))
+            self.queue.append(Call(part, nonce))
 
     def due(self, now):
         """The Call to send now, or None."""
@@ -88,9 +88,9 @@
         self.queue.popleft()
         self.doubt, self.seen, self.fails, self.at = False, False, 0, 0
 
-    def saw(self, mark):
-        """A proxy answered this mark: the call that carried it was carried out. True if one waited for that."""
-        if self.queue and self.queue[0].mark is not None and self.queue[0].mark == mark:
+    def saw(self, nonce):
+        """A proxy answered this nonce: the call that carried it was carried out. True if one waited for that."""
+        if self.queue and self.queue[0].nonce is not None and self.queue[0].nonce == nonce:
             self.seen = True
             if self.doubt:
                 self.at = 0
@@ -112,7 +112,7 @@
         if what == "taken":
             self.refused.append(call.orders[value])
             rest = call.orders[value + 1:]
-            if value and rest and call.mark is not None:
+            if value and rest and call.nonce is not None:
                 rest[-1] = rest[-1].rpartition(",")[0] + ",1"       # those who got the first part are to answer, too
             call.orders = rest
             if not rest:
@@ -131,7 +131,7 @@
         """No answer. `sent`: the call's last byte had gone, so it may have been carried out."""
         if not sent:
             self.later(now)
-        elif self.queue[0].mark is None:
+        elif self.queue[0].nonce is None:
             self.again += 1
             self.later(now)
         else:
--- a/embertray/platform/news.py
+++ b/embertray/platform/news.py
@@ -10,7 +10,7 @@
 
 Attach = namedtuple("Attach", "proxy zone rate fresh")
 Detach = namedtuple("Detach", "proxy")
-Done = namedtuple("Done", "proxy mark took")        # took in ns
+Done = namedtuple("Done", "proxy nonce took")        # took in ns
 
 
 class News:
@@ -88,7 +88,7 @@
 
 class Standing:
     """Who is joined, by the news of one connection at a time, the leader; when it is lost another takes over, and what
-    the two differ in is told. Answers to marks count from whichever connection brings them."""
+    the two differ in is told. Answers to nonces count from whichever connection brings them."""
 
     def __init__(self):
         self.views, self.leader, self.joined, self.at, self.dark = {}, None, {}, {}, 0     # dark: since when nobody leads
--- a/embertray/platform/post.py
+++ b/embertray/platform/post.py
@@ -54,7 +54,7 @@
         due = False
         for one in found:
             if isinstance(one, Done):
-                due = self.caller.saw(one.mark) or due
+                due = self.caller.saw(one.nonce) or due
             if (event := self.words.news(one)) is not None:
                 self.todo.append(event)
         return due
@@ -65,15 +65,16 @@
             self.tidy_at = now + TIDY
             self.tidy()
         if self.caller.idle and (orders := self.play(now)):
-            texts, mark, sync, said = self.words.orders(orders)
-            self.caller.put(texts, mark, sync)
+            texts, nonce, sync, said = self.words.orders(orders)
+            self.caller.put(texts, nonce, sync)
             self.said += said
         return not self.caller.idle
 
     def anew(self, now):
         """A new module in place of one that had a fault within a step, told what stands. Its tables get new numbers, so that no
         line of the former ones is left to anybody who is bound."""
-        listed = [i.Entry(be.handle, be.zone, be.state, be.started) for be in self.module.bes if be.state not in (None, "gone")]
+        listed = [i.Entry(backend.handle, backend.zone, backend.state, backend.started) for backend in self.module.bes
+                  if backend.state not in (None, "gone")]
         for known in (self.door.backends, self.door.proxies):
             for handle in known.values():
                 handle.actor = None
@@ -84,7 +85,7 @@
     def tidy(self):
         """Who is long gone is forgotten, and marks that nobody owes an answer to."""
         self.forget(lambda thing: thing.door in self.standing.joined)
-        open_marks = {mark for px in self.module.pxs for mark, _ in px.open}
+        open_marks = {mark for proxy in self.module.pxs for mark, _ in proxy.open}
         open_marks.update(self.module.channel.flight)
         self.door.marks = {number: mark for number, mark in self.door.marks.items() if mark in open_marks}
 
--- a/embertray/platform/words.py
+++ b/embertray/platform/words.py
@@ -18,28 +18,28 @@
     def report(self, got):
         """A Met or Came as an event; None if it names a backend or proxy that was never told."""
         if hasattr(got, "backend"):
-            be = self.door.backends.get(got.backend)
-            return be and i.Heard(be, self.door.zone(got.zone), got.tries, got.errored, got.latency, got.span, got.load)
-        px = self.door.proxies.get(got.proxy)
-        return px and i.Arrivals(px, self.kinds[got.kind], got.reqs, got.lost, got.span)
+            backend = self.door.backends.get(got.backend)
+            return backend and i.Heard(backend, self.door.zone(got.zone), got.tries, got.errored, got.latency, got.span, got.load)
+        proxy = self.door.proxies.get(got.proxy)
+        return proxy and i.Arrivals(proxy, self.kinds[got.kind], got.reqs, got.lost, got.span)
 
     def news(self, got):
-        """An Attach, Detach or Done as an event; None for a mark that is not open any more."""
-        px = self.door.proxy(got.proxy)
+        """An Attach, Detach or Done as an event; None for a nonce that is not open any more."""
+        proxy = self.door.proxy(got.proxy)
         if isinstance(got, Attach):
-            return i.Joined(px, self.door.zone(got.zone), got.rate, got.fresh)
+            return i.Joined(proxy, self.door.zone(got.zone), got.rate, got.fresh)
         if isinstance(got, Detach):
-            return i.Left(px)
-        mark = self.door.marks.get(got.mark)
-        return mark and i.Answered(px, mark, got.took)
+            return i.Left(proxy)
+        mark = self.door.marks.get(got.nonce)
+        return mark and i.Answered(proxy, mark, got.took)
 
     def orders(self, orders):
-        """(order texts, the mark's number or None, the mark's order as a function of 0 or 1, log lines)."""
-        texts, mark, sync, said = [], None, None, []
+        """(order texts, the nonce or None, the nonce's order as a function of 0 or 1, log lines)."""
+        texts, nonce, sync, said = [], None, None, []
         for order in orders:
             if isinstance(order, i.SetLine):
-                table, be = self.door.table_id(order.table), order.backend.door
-                texts.append(f"SET,{table},{be},{figure(order.weight)}")
+                table, backend = self.door.table_id(order.table), order.backend.door
+                texts.append(f"SET,{table},{backend},{figure(order.weight)}")
             elif isinstance(order, i.Bind):
                 texts.append(f"USE,{order.proxy.door},{self.door.table_id(order.table)},*")
             elif isinstance(order, i.Withdraw):
@@ -48,8 +48,8 @@
                 kinds = "+".join(self.names[kind] for kind in order.kinds) or "*"
                 texts.append(f"LIMIT,{self.door.table_id(order.table)},{kinds},{figure(order.level)},{order.retry}")
             elif isinstance(order, i.PutMark):
-                mark = self.door.mark_id(order.mark)
-                sync = f"SYNC,{mark},{{}}".format
+                nonce = self.door.mark_id(order.mark)
+                sync = f"SYNC,{nonce},{{}}".format
             elif isinstance(order, i.Log):
                 said.append(order.text)
-        return texts, mark, sync, said
+        return texts, nonce, sync, said
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -69,21 +69,21 @@
                 self.assertTrue(caller.idle)
             else:
                 self.assertFalse(caller.saw(6))
-                self.assertEqual(caller.due(200 * MS + limits.EVIDENCE).mark, 7)
+                self.assertEqual(caller.due(200 * MS + limits.EVIDENCE).nonce, 7)
                 self.assertFalse(caller.idle)
 
     def test_a_call_that_was_not_sent_goes_again_soon(self):
         caller = self.caller()
         caller.due(0)
         caller.broke(0, False, "refused")
-        self.assertEqual(caller.due(limits.AGAIN_FIRST).mark, 7)
+        self.assertEqual(caller.due(limits.AGAIN_FIRST).nonce, 7)
 
     def test_many_orders_go_in_several_calls(self):
         caller = Caller(0)
         caller.put([f"USE,{k},1,*" for k in range(9000)], 5, "SYNC,5,{}".format)
         sizes = [len(";".join(call.orders)) for call in caller.queue]
         self.assertTrue(len(sizes) > 1 and max(sizes) <= limits.ORDERS_MOST)
-        self.assertEqual([call.mark for call in caller.queue], [None] * (len(sizes) - 1) + [5])
+        self.assertEqual([call.nonce for call in caller.queue], [None] * (len(sizes) - 1) + [5])
         self.assertEqual(caller.queue[-1].orders[-1], "SYNC,5,1")
 
 
