--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -87,6 +87,20 @@
                     await relay.until(lambda: len(relay.lines(1)) == 2)
         anyio.run(play)
 
+    def test_a_list_gone_empty_counts_as_told_and_what_is_back_is_served_again(self):
+        async def play():
+            async with stage() as (service, relay, discovery):
+                relay.attach(1, "north")
+                await relay.until(lambda: len(relay.lines(1)) == 2)
+                members = dict(discovery.members)
+                for told in ({}, members):
+                    discovery.members, discovery.revision = told, discovery.revision + 1
+                    service.post.follow.elsewhere()             # the next answer is a whole list
+                    for stream in list(discovery.open):
+                        await anyio.aclose_forcefully(stream)
+                    await relay.until(lambda: set(relay.lines(1)) == set(told))
+        anyio.run(play)
+
     def test_a_list_that_takes_its_time_is_taken(self):
         """Longer than it may take to begin: only silence is a break."""
         async def play():
