--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -11,7 +11,8 @@
 from embertray.node.service import Service
 from embertray.platform.port import Came, Met, Port
 from embertray.platform.start import read
-from embertray.standin.platform import StandinDiscovery, StandinRelay
+from embertray.standin.platform import StandinDiscovery
+from embertray.standin.relay import StandinRelay
 
 HERE = Path(__file__).resolve().parent
 MS, S = 10**6, 10**9
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,7 +23,8 @@
 from embertray.platform.port import ALIVE
 from embertray.platform.post import Post
 from embertray.platform.start import BadStart, read
-from embertray.standin.platform import StandinDiscovery, StandinRelay
+from embertray.standin.platform import StandinDiscovery
+from embertray.standin.relay import StandinRelay
 from platform_stage import HEARD, HERE, JOIN, S, SETTINGS, client, configured, member, stage
 
 
