--- a/tests/test_node_address.py
+++ b/tests/test_node_address.py
@@ -4,6 +4,7 @@
 import os
 import resource
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -193,6 +194,21 @@
                     self.assertEqual(service.post.unknown, k + 1)
         anyio.run(play)
 
+    def test_connections_that_are_reset_before_they_are_taken_cost_nothing(self):
+        async def play():
+            async with stage() as (service, _, _):
+                host, _, number = service.address.rpartition(":")
+                for _ in range(100):                # all within one turn of the loop: nothing is taken meanwhile
+                    with socket.create_connection((host, int(number))) as gone:
+                        gone.sendall(JOIN + STATS)
+                        gone.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                alive = await client(service, b'{"@type":"hb"}\n')
+                self.assertEqual(await alive.receive(), ALIVE)
+                while len(service.clients.strangers) > 1 or service.clients.scopes.keys() - service.clients.strangers:
+                    await anyio.sleep(0.02)
+                await alive.aclose()
+        anyio.run(play)
+
     def test_who_takes_no_replies_is_closed(self):
         async def play():
             async with stage() as (service, _, _):
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -162,6 +162,23 @@
 
 
 class OnSockets(unittest.TestCase):
+    def test_what_comes_with_the_end_of_the_news_counts(self):
+        async def play():
+            async with stage() as (service, relay, _):
+                relay.attach(1, "north")
+                await relay.until(lambda: relay.lines(1) and len(relay.streams) == limits.STREAMS)
+                relay.attach(2, "north")
+                while any(relay.streams):           # until the relay has sent it; nobody else has run since
+                    await anyio.lowlevel.checkpoint()
+                del relay.joined[2]                 # it is told once, by the last bytes
+                for stream in list(relay.open):
+                    await anyio.aclose_forcefully(stream)
+                await relay.until(lambda: any(order.startswith("USE,2,") for _, orders in relay.calls for order in orders))
+                await relay.until(lambda: len(relay.streams) == limits.STREAMS)
+                while 2 in service.post.standing.joined:
+                    await anyio.sleep(0.02)         # and is known to have left once what stands was told
+        anyio.run(play)
+
     def test_who_left_and_came_back_while_no_news_came_is_bound_again(self):
         async def play():
             async with stage() as (service, relay, _):
