--- a/embertray/node/early.py
+++ b/embertray/node/early.py
@@ -6,7 +6,7 @@
 
 
 class Early:
-    """`kept`: SIGHUP came before `take` was called."""
+    """`kept`: SIGHUP came before anybody else had taken its handling over."""
 
     def __init__(self):
         self.kept = False
