A rejection is handed to the socket before any limit begins

Cause: ConnectionListener.send gave the last reply 4 ms, and the limit began before the write: a stream's send gives the loop a turn first. If the process gets no processor time between setting the limit and entering it, the limit is over at once, that turn is cancelled and nothing is written.

Evidence: a loop that another task holds for 1.1 s loses nothing, on asyncio and uvloop: the write comes before the timers. A clock that moves on between two looks at it loses both replies, each time.

Why this works: send_within lets the write go first; its limit begins one turn later and bounds only what the peer does not take. The last reply has the limit of any reply, 1 s; the 4 ms had no reason but a close that is not put off.

Test: LateReplies; a_rejection_arrives_though_its_limit_was_over_before_the_write failed before, (b'', False) in place of both replies; the one of the held loop passed before and after.

--- a/embertray/platform/protocol/limits.py
+++ b/embertray/platform/protocol/limits.py
@@ -11,10 +11,8 @@
 
 # the protocol lets a connection that has not joined by then be closed
 JOIN_TIMEOUT_NS = 1000 * NS_PER_MS
-# for a reply to be taken
+# for a reply to be taken, the last one before the close as well
 REPLY_TIMEOUT_NS = 1000 * NS_PER_MS
-# for the last reply to be taken, before the close
-LAST_REPLY_TIMEOUT_NS = 4 * NS_PER_MS
 # read on and dropped after the last reply, so long or so much: a close over unread bytes is a reset
 LINGER_TIMEOUT_NS = 200 * NS_PER_MS
 LINGER_MAX_BYTES = 256 << 10
--- a/embertray/platform/run/listener.py
+++ b/embertray/platform/run/listener.py
@@ -6,8 +6,8 @@
 
 from embertray.common.net.exceptions import CONNECTION_ERRORS
 from embertray.common.net.queued_connection import QueuedConnection
+from embertray.common.net.sending import send_within
 from embertray.platform.protocol.limits import (
-    LAST_REPLY_TIMEOUT_NS,
     LINGER_MAX_BYTES,
     LINGER_TIMEOUT_NS,
     NS_PER_S,
@@ -115,10 +115,7 @@
         """Write what is to be written; after a last reply, see to it that it arrives."""
         reply = connection.outgoing
         connection.outgoing = b""
-        timeout = LAST_REPLY_TIMEOUT_NS if connection.close_reason else REPLY_TIMEOUT_NS
-        with anyio.move_on_after(timeout / NS_PER_S) as sending:
-            await stream.send(reply)
-        if sending.cancelled_caught:
+        if not await send_within(stream, reply, REPLY_TIMEOUT_NS):
             # against a peer that asks and never reads: replies would pile up here
             connection.close_reason = connection.close_reason or "takes no replies"
         elif connection.close_reason:
--- a/tests/test_platform_address.py
+++ b/tests/test_platform_address.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from contextlib import ExitStack
 from pathlib import Path
@@ -185,6 +186,60 @@
         anyio.run(play)
 
 
+LONGER_THAN_A_REPLY = 1.1 * limits.REPLY_TIMEOUT_NS / S
+
+
+class LateLoop(asyncio.SelectorEventLoop):
+    """A loop whose clock, once `is_late`, has moved on past every limit at each look at it: what a process
+    sees that gets no processor time between two of its lines.
+    """
+
+    is_late = False
+    lost = 0.0
+
+    def time(self):
+        self.lost += LONGER_THAN_A_REPLY if self.is_late else 0
+        return super().time() + self.lost
+
+
+class LateReplies(unittest.TestCase):
+    """Guards against a reply that is owed and lost as its time limit ran out before it was written."""
+
+    def play(self, write, **loop):
+        """What a peer gets that sends what can't be read; `write(send)` is called in place of `send`."""
+
+        async def play():
+            async with stage() as (service, _, _):
+                send = service.listener.send
+
+                async def late_send(*arguments):
+                    await write(lambda: send(*arguments))
+
+                service.listener.send = late_send
+                return await ended(await client(service, b'{"@type":"hb"}\n\xff\n'))
+
+        return anyio.run(play, backend_options=loop)
+
+    def test_a_rejection_arrives_though_its_limit_was_over_before_the_write(self):
+        async def without_processor_time(send):
+            loop = asyncio.get_running_loop()
+            loop.is_late = True
+            await send()
+            loop.is_late = False
+
+        got = self.play(without_processor_time, loop_factory=LateLoop)
+        self.assertEqual(got, (HEARTBEAT_REPLY + REJECTION, False))
+
+    def test_a_rejection_arrives_though_the_loop_was_held_before_the_write(self):
+        async def held(send):
+            asyncio.get_running_loop().call_soon(time.sleep, LONGER_THAN_A_REPLY)
+            await send()
+
+        for use_uvloop in (False, True):
+            got = self.play(held, use_uvloop=use_uvloop)
+            self.assertEqual(got, (HEARTBEAT_REPLY + REJECTION, False), use_uvloop)
+
+
 class OnSockets(unittest.TestCase):
     def test_unjoined_peers_by_the_hundreds_are_closed_and_cost_nobody_else(self):
         async def play():
