Tests of the start: no flushes within deadlines, inputs judged by processor time

What was seen: two of Hypothesis' own checks failed once each beside other test processes; no caller saw anything, and no property was broken.

Cause: six flushes an example, as long as others use the disk, within a deadline of 200 ms; and a check on the time of drawing inputs that counts the time in which the process is stopped.

Why this works: that test is of reading damaged files, so its files are written without flushes. Hypothesis' check for slow inputs is suppressed in the one test, and replaced by one as strict that does not count stops: 10 s of processor time for its 100 examples, Hypothesis' 1 s for ten, and the examples' own time counts as well. Properties, deadline and number of examples are as before.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -5,10 +5,11 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
-from hypothesis import given, strategies as st
+from hypothesis import HealthCheck, given, settings, strategies as st
 
 from embertray.common.snapshots import (
     ClockReading,
@@ -71,6 +72,16 @@
     setattr(FailingDisk, each, wrap(each))
 
 
+class UnflushedDisk(Disk):
+    """Writes files and flushes none: how long a flush takes is up to whoever else uses the disk."""
+
+    def flush(self, file):
+        pass
+
+    def flush_folder(self, path):
+        pass
+
+
 class Snapshots(unittest.TestCase):
     def setUp(self):
         self.box = tempfile.TemporaryDirectory()
@@ -78,9 +89,9 @@
         self.addCleanup(self.box.cleanup)
         SnapshotStore(self.folder).folder.mkdir()
 
-    def fill(self, count=GENERATIONS_KEPT):
+    def fill(self, count=GENERATIONS_KEPT, disk=None):
         for n in range(count):
-            SnapshotStore(self.folder).save(b"body %d" % n)
+            SnapshotStore(self.folder, disk).save(b"body %d" % n)
 
     def test_the_newest_snapshot_counts_and_older_generations_are_removed(self):
         self.fill(7)
@@ -118,7 +129,7 @@
 
     @given(st.data())
     def test_a_damaged_or_truncated_file_is_skipped_with_its_reason(self, data):
-        self.fill()
+        self.fill(disk=UnflushedDisk())  # hundreds of flushes within the deadlines of the examples
         path = SnapshotStore(self.folder).path_of(SnapshotStore(self.folder).generations()[-1])
         good = path.read_bytes()
         at = data.draw(st.integers(0, len(good) * 8 - 1))
@@ -298,6 +309,16 @@
 
 
 class DiscoveryAnswers(unittest.TestCase):
+    # Processor seconds of a test. Hypothesis wants ten inputs within 1 s, so a hundred within this; but by a
+    # clock that goes on while the process is stopped, or gets no core.
+    PROCESSOR_SECONDS_MAX = 10
+
+    def setUp(self):
+        self.addCleanup(self.check_processor_time, time.process_time())
+
+    def check_processor_time(self, began):
+        self.assertLess(time.process_time() - began, self.PROCESSOR_SECONDS_MAX)
+
     def begin(self, **more):
         trust = Trust(4 * S, more.pop("binds", True))
         trust.start(0, snapshot("abcdefgh", **more), ClockReading(5000 * S, "x", 0))
@@ -374,6 +395,7 @@
         verdict = trust.receive_update(2 * S, "changes", 8, listed("abcdef", state="draining"))
         self.assertEqual(len(verdict.entries), 6)
 
+    @settings(suppress_health_check=[HealthCheck.too_slow])
     @given(
         st.lists(
             st.tuples(
