Subsetting: a controller with the proxies of others leaves none of its tables out

Cause: a zone has five tables, and the survivor uses the four that an even part of all proxies calls for, though all 480 proxies are with it. The fifth table's backends get next to nothing of their zone's requests, the others 25% more.

Evidence: proxies and weights of each table, logged every two seconds: at one table of each zone 0 proxies, at the others 15 to 43. The restarted controllers have no proxies until the end, which is why they log nothing.

Test: leaves_no_table_out failed before (16 of 20 tables in use).

--- a/embertray/policy/proxy_binding.py
+++ b/embertray/policy/proxy_binding.py
@@ -10,6 +10,7 @@
 take seconds of the channel, and for each proxy the grace runs from its joining.
 """
 
+from collections import Counter
 from typing import Any, NamedTuple
 
 from .channel_budget import NONCE_LINES
@@ -59,9 +60,12 @@
             list of `Binding`.
         """
         bindings = []
+        if not self.waiting:
+            return bindings
         rates = self.tables.usual_rates()
+        joined = Counter(proxy.zone for proxy in self.context.joined_proxies)
         for proxy in self._in_order(joined_before):
-            table = self.tables.table_for(proxy, rates, removals_wait)
+            table = self.tables.table_for(proxy, joined, rates, removals_wait)
             if not table:
                 continue
             lines = self.writer.bind_lines(table)
--- a/embertray/policy/subsetting.py
+++ b/embertray/policy/subsetting.py
@@ -7,13 +7,16 @@
 fewest requests for what its lines can do. There are no more tables in use than one for five proxies: where
 that makes larger subsets needed, they are larger. Nor are there so many that a backend would stand in fewer
 than four used tables of all controllers: with 5 controllers of 20 used tables each there are at most 25
-subsets.
+subsets. How many are used follows from an even part of all proxies; a controller to which more of a zone's
+proxies have come uses more, one for five of them.
 
 Inputs: wanted weights, lines that a table may have (0: any number), usual requests a second of each table's
-proxies. Decides: `TableState.want` of each table, and the table of a joining proxy.
+proxies, joined proxies of the zone. Decides: `TableState.want` of each table, and the table of a joining
+proxy.
 
 Guards against proxies that are not bound within the drain grace and go on to send to backends that left:
-whole tables for a large fleet take the channel longer than that.
+whole tables for a large fleet take the channel longer than that. And against a controller that has the
+proxies of others that ended, and none in some table: the backends of that table would get next to nothing.
 """
 
 from .interface import Table
@@ -41,7 +44,7 @@
         self.tables = []
         self._tables_max = max(1, deployment.proxies // per_table)
         self._tables_max_with_coverage = self._tables_max * deployment.controllers // TABLES_PER_LINE_MIN
-        self._tables_in_use = 1  # the first so many tables are in use
+        self._tables_in_use = 1  # the first so many tables are in use, at the least
         self._first_table_draw = context.draw()  # each controller begins at another table
         self._table_of = {}  # backend -> the table its line stands in
 
@@ -138,11 +141,12 @@
             if not any(table.want.values()):
                 table.want.update({backend: wanted[backend] for backend in best})
 
-    def table_for(self, proxy, rates, removals_wait):
+    def table_for(self, proxy, joined, rates, removals_wait):
         """The table for a proxy that joins: where fewest requests come for what the lines can do.
 
         Args:
             proxy: `ProxyState`.
+            joined: how many proxies of the zone are joined.
             rates: table -> usual requests a second of its proxies.
             removals_wait: whether removals wait; a table that was never sent costs too much then.
 
@@ -150,7 +154,8 @@
             `TableState`, or None if no table has lines yet.
         """
         first = self._first_table_draw % max(1, len(self.tables))
-        used = (self.tables[first:] + self.tables[:first])[: self._tables_in_use]
+        in_use = max(self._tables_in_use, joined // PROXIES_PER_TABLE_MIN)
+        used = (self.tables[first:] + self.tables[:first])[:in_use]
         weights = {
             table: sum(table.want.values())
             for table in used
--- /dev/null
+++ b/tests/test_subsets.py
@@ -0,0 +1,46 @@
+"""Subsets of a zone's lines: which tables proxies get, through the whole decision module."""
+
+import unittest
+from collections import Counter
+
+from embertray.policy import Controller, interface as i
+
+S = 10**9
+BACKENDS = 160  # twenty tables of eight lines
+CONTROLLERS = 5
+PROXIES = 400
+
+
+class Subsets(unittest.TestCase):
+    def bound(self, joining):
+        """Table -> how many of so many `joining` proxies are bound to it."""
+        zone = i.Zone("z")
+        deployment = i.Deployment(
+            [],
+            [zone],
+            controllers=CONTROLLERS,
+            proxies=PROXIES,
+            drain_grace=3 * S,
+            channel_rate=1000.0,
+            pending_max=1e6,
+            report_interval=S,
+        )
+        controller = Controller(1, deployment, S)
+        backends = [i.Endpoint(i.Backend(f"b{n}"), zone) for n in range(BACKENDS)]
+        controller.step(S, [i.EndpointListUpdate("whole", backends)])
+        proxies = [i.ProxyJoined(i.Proxy(n), zone, 10.0, False) for n in range(joining)]
+        orders = controller.step(2 * S, proxies)
+        return Counter(order.table for order in orders if isinstance(order, i.Bind))
+
+    def test_a_controller_with_its_part_of_the_proxies_uses_a_table_for_five(self):
+        used = self.bound(PROXIES // CONTROLLERS)
+        self.assertEqual((len(used), set(used.values())), (16, {5}))
+
+    def test_a_controller_with_the_proxies_of_those_that_ended_leaves_no_table_out(self):
+        """Guards against backends that get next to nothing, while the others get their load as well."""
+        used = self.bound(PROXIES)
+        self.assertEqual((len(used), set(used.values())), (20, {20}))
+
+
+if __name__ == "__main__":
+    unittest.main()
