Slow start: a cold backend that has to wait loses the line that it has

Cause: while requests queue a cold backend is to get no line. The planner left it out of the wanted lines, and what a table does not want it does not compare: a line that stood already stayed, at the weight from before the restart. Backends of a lost zone that came back kept their lines so, some fell over, and their controller was cut off from the relay as the list told of it.

Evidence: orders logged: from the beat at which all 52 backends of the zone have weight 0 until the list tells, 400 lines, none of them 0 for one of these. With three backends: a restarted one has its line of 1.0 two seconds after the list told. Dials 2 ms after the list told, a call on a connection kept open, and one event stream in place of two get no further than before.

--- a/embertray/policy/weight_planner.py
+++ b/embertray/policy/weight_planner.py
@@ -26,7 +26,7 @@
         """One beat.
 
         Returns:
-            (`FleetState`, list of (zone, `BackendState` -> wanted weight)).
+            (`FleetState`, list of (zone, `BackendState` -> wanted weight, 0 for who gets no line)).
         """
         context = self.context
         figures = [backend.figures() for backend in context.backends if backend.state == "ready"]
@@ -38,10 +38,9 @@
         self.outliers.eject(figures)
         state = self.congestion.estimate(figures)
         is_congested = self.congestion.is_congested(state, figures)
-        weights = {
-            row.backend: row.backend.capacity * row.warmth * row.backend.health
-            for row in backends_with_weight(figures, is_congested)
-        }
+        weights = {row.backend: 0.0 for row in figures}  # whoever waits loses the line that it has
+        for row in backends_with_weight(figures, is_congested):
+            weights[row.backend] = row.backend.capacity * row.warmth * row.backend.health
         return state, list(self.locality.lines(weights, demand))
 
     def _demand(self):
