Feed: a new write does not wait for what a returning subscriber missed

Cause: a feed sends what changed after the confirmed revision in order, at 3,000 bytes a second, so a subscriber that has just returned gets every new write behind all that it missed.

Evidence: all writes over 2 s logged with their subscriber: each at one that came back 4 to 30 s before, applied together with what it missed.

Why this works: while it catches up, what was written since it subscribed goes in turn with what it missed; neither keeps the other out. It goes once more in its turn, so nothing hangs on that update.

Test: a_new_write_does_not_wait failed before (14.6 s, 3 s wanted); the other two are of the mend.

--- a/embertray/cluster/replication/subscriber_feed.py
+++ b/embertray/cluster/replication/subscriber_feed.py
@@ -3,6 +3,9 @@
 Nothing is queued for a subscriber but the revision that it confirmed: an update is made when it may be sent,
 of the newest entries written since, so what waits is deduplicated by key. One update is in flight at a time;
 one that is not confirmed is sent again with backoff.
+
+A subscriber that returns with much to catch up gets what was written since then in turn with what it missed:
+a write that is in force everywhere else does not wait for another one's history.
 """
 
 from .codec import encode
@@ -106,7 +109,7 @@
             bucket = TokenBucket(self.settings.sustained, self.settings.burst, now)
             subscription = Subscription(name, bucket, message.revision, now, now)
             self.subscriptions[name] = subscription
-        subscription.subscribed(now, message)
+        subscription.subscribed(now, message, self.store().revision)
 
     def _repair(self, now, subscription, message):
         subscription.heard_at = now
@@ -182,19 +185,28 @@
         self._send(now, subscription, encode(heartbeat), out)
 
     def _send_update(self, now, subscription, out):
+        recent_first = subscription.catches_up and subscription.recent_is_next
+        if not (recent_first and self._send_recent(now, subscription, out)):
+            self._send_missing(now, subscription, out)
+
+    def _send_recent(self, now, subscription, out):
+        """Sends what was written since it subscribed, before all that it missed. Returns whether any went."""
+        recent = self.store().since(subscription.recent_sent)
+        entries, _ = _entries_that_fit(recent, self._room(now, subscription))
+        if not entries:
+            return False
+        confirmed = subscription.confirmed
+        subscription.recent_update_sent(now, entries[-1].revision, self.settings)
+        self._send(now, subscription, encode(Update(confirmed, confirmed, entries)), out)
+        return True
+
+    def _send_missing(self, now, subscription, out):
         """Sends as much as the budget allows, unless that is less than a chunk and more waits."""
-        available = min(subscription.bucket.available(now), self.total.available(now))
-        room = available - FRAME_BYTES - UPDATE_BYTES
         store = self.store()
-        entries = []
-        size = 0
-        too_large = None  # the first entry that did not fit
-        for entry in store.since(subscription.confirmed):
-            if size + entry.size > room:
-                too_large = entry
-                break
-            entries.append(entry)
-            size += entry.size
+        entries, too_large = _entries_that_fit(
+            store.since(subscription.confirmed), self._room(now, subscription)
+        )
+        size = sum(entry.size for entry in entries)
         if too_large is not None and not entries:
             return
         # what fits before an entry larger than a chunk goes alone: they would never fit together
@@ -206,6 +218,11 @@
         update = Update(subscription.confirmed, upto, entries)
         self._send(now, subscription, encode(update), out)
 
+    def _room(self, now, subscription):
+        """Bytes of entries that an update may have now."""
+        available = min(subscription.bucket.available(now), self.total.available(now))
+        return available - FRAME_BYTES - UPDATE_BYTES
+
     def _send_inventory(self, now, subscription, out):
         store = self.store()
         bucket = subscription.repairs[0]
@@ -221,3 +238,14 @@
             bucket.spend(size)
         subscription.bytes_sent += size
         out.append(SubscriberMessage(subscription.name, data))
+
+
+def _entries_that_fit(entries, room):
+    """The first entries that fit into `room` bytes, and the first one that does not; None if all do."""
+    fitting = []
+    for entry in entries:
+        room -= entry.size
+        if room < 0:
+            return fitting, entry
+        fitting.append(entry)
+    return fitting, None
--- a/embertray/cluster/replication/subscription.py
+++ b/embertray/cluster/replication/subscription.py
@@ -16,6 +16,9 @@
         name: of the subscriber.
         bucket: the bytes that it may be sent.
         confirmed: revision up to which it has applied everything.
+        missed_up_to: the replica's revision when it subscribed: it catches up until it has confirmed that.
+        recent_sent: newest revision that was sent to it before all that it missed.
+        recent_is_next: whether recent entries go before more of what it missed.
         heard_at: ns of its last message.
         heartbeat_at: ns when the next heartbeat is due.
         in_flight: revision that the update under way leads to; None if there is none.
@@ -32,6 +35,9 @@
     confirmed: int
     heard_at: int
     heartbeat_at: int
+    missed_up_to: int = 0
+    recent_sent: int = 0
+    recent_is_next: bool = True
     in_flight: int | None = None
     retry_at: int = 0
     failures: int = 0
@@ -40,9 +46,17 @@
     bytes_sent: int = 0
     wake_at: int = 0
 
-    def subscribed(self, now, message):
-        """Starts anew with a Subscribe received at `now` (ns)."""
+    @property
+    def catches_up(self):
+        """Whether it still lacks some of what was written before it subscribed."""
+        return self.confirmed < self.missed_up_to
+
+    def subscribed(self, now, message, revision):
+        """Starts anew with a Subscribe received at `now` (ns), when the replica has reached `revision`."""
         self.confirmed = message.revision
+        self.missed_up_to = revision
+        self.recent_sent = revision
+        self.recent_is_next = True
         self.heard_at = now
         self.in_flight = None
         self.failures = 0
@@ -62,8 +76,18 @@
         """An update that leads to the revision `upto` is under way; each failure doubles its timeout."""
         doublings = min(self.failures, MAX_BACKOFF_DOUBLINGS)
         self.in_flight = upto
+        self.recent_is_next = True
         self.retry_at = now + min(settings.retry_first << doublings, settings.retry_most)
 
+    def recent_update_sent(self, now, newest, settings):
+        """Recent entries up to the revision `newest` are under way; what it missed goes next.
+
+        They are not sent again for themselves: with the rest they go once more.
+        """
+        self.update_sent(now, self.confirmed, settings)
+        self.recent_sent = newest
+        self.recent_is_next = False
+
     def expire_update(self, now):
         """Gives up an update that was not confirmed in time. Returns whether there was one."""
         if self.in_flight is None or now < self.retry_at:
--- a/tests/test_control_feed.py
+++ b/tests/test_control_feed.py
@@ -84,6 +84,65 @@
             self.assertLessEqual(window, 10 * self.feed.settings.bytes_per_second)
         self.assertLess(spent[-1][0] - spent[0][0], (400 * 160 // self.feed.settings.sustained + 2) * S)
 
+    def test_a_new_write_does_not_wait_for_what_a_returning_subscriber_missed(self):
+        """Guards against a write that is in force everywhere else and waits for another one's history."""
+        for n in range(400):
+            self.write(f"k{n}", bytes(100))
+        subscriber = Subscriber("c", "s", ["r"], self.now, random.Random(1))
+        began, written_at, in_force_at = self.now, {}, {}
+        subscriber.connection_id, subscriber.connecting = 1, True
+        subscriber.connection_opened(self.now, 1)
+        while self.now < began + 30 * S:
+            if self.now > began and self.now % S == 0 and len(written_at) < 15:
+                written_at[f"new{len(written_at)}"] = self.now
+                self.write(f"new{len(written_at) - 1}", bytes(100))
+            self.converse(subscriber, 10 * MS)
+            for entry in subscriber.applied:
+                self.assertNotIn(entry.key, in_force_at)
+                in_force_at[entry.key] = self.now
+            subscriber.applied = []
+        self.assertEqual(len(in_force_at), 415)
+        self.assertEqual((subscriber.revision, subscriber.store.digest), (415, self.store.digest))
+        self.assertEqual(subscriber.counters["repairs"], 0)
+        self.assertLess(max(in_force_at[key] - written_at[key] for key in written_at), 3 * S)
+        self.assertLess(
+            max(in_force_at.values()) - began, (415 * 160 // self.feed.settings.sustained + 3) * S
+        )
+
+    def test_a_removal_that_came_before_what_was_missed_is_not_applied_again_after_a_restart(self):
+        for n in range(100):
+            self.write(f"k{n}", bytes(100))
+        subscriber = Subscriber("c", "s", ["r"], self.now, random.Random(1))
+        subscriber.connection_id, subscriber.connecting = 1, True
+        subscriber.connection_opened(self.now, 1)
+        self.converse(subscriber, S)
+        self.write("k99", None)
+        self.converse(subscriber, S)
+        self.assertIn(("k99", None), [(entry.key, entry.value) for entry in subscriber.applied])
+        self.assertLess(subscriber.revision, 100)
+        on_disk = list(subscriber.store.since(0))
+        restarted = Subscriber(
+            "c", "s", ["r"], self.now, random.Random(2), entries=on_disk, revision=subscriber.revision
+        )
+        restarted.connection_id, restarted.connecting = 2, True
+        restarted.connection_opened(self.now, 2)
+        self.converse(restarted, 20 * S)
+        self.assertEqual(restarted.revision, 101)
+        self.assertNotIn("k99", [entry.key for entry in restarted.applied])
+
+    def test_new_writes_without_end_do_not_keep_a_returning_subscriber_from_what_it_missed(self):
+        for n in range(100):
+            self.write(f"k{n}", bytes(100))
+        self.subscribe()
+        confirmed = 0
+        for n in range(4_000):
+            if n % 4 == 0:
+                self.write("hot", bytes(100))
+            for update in self.updates(10 * MS):
+                confirmed = max(confirmed, update.upto)
+                self.feed.receive(self.now, "s", Confirm(confirmed, self.now))
+        self.assertGreater(confirmed, 100)
+
     def test_a_returning_subscriber_brings_its_remaining_budget(self):
         for n in range(100):
             self.write(f"k{n}", bytes(100))
