Replication: messages that wait as a connection ends are counted as dropped

What operators saw: nothing, which was the fault: a message to a silent replica was queued on the connection that was closed with it, and shows in no count.

Cause: PeerLink.put closes the connection and puts; what waits in a queue as its connection ends was counted nowhere, of replicas' and subscribers' connections alike.

Evidence: a peer by hand that brings nothing: 0 dropped where 1 is; one that takes nothing: 0 where 2 are.

Why this works: all of them write by Connection.write, which counts what still waits when it ends.

Test: both of PeerLinks failed before.

--- a/embertray/cluster/replication/link/connection.py
+++ b/embertray/cluster/replication/link/connection.py
@@ -33,7 +33,8 @@
         bytes_out: sent, frames included.
         messages_in: received.
         messages_out: sent.
-        dropped: messages that a full queue did not take, or that had no connection.
+        dropped: messages that a full queue did not take, that had no connection, or whose connection ended
+            before they were written.
         rejected: connections that were ended for what they sent, or for sending nothing.
     """
 
@@ -91,15 +92,21 @@
 
     async def write(self):
         """Writes queued messages until the stream breaks, which raises one of CONNECTION_ERRORS."""
-        while True:
-            while self.queue:
-                data = frame(self.queue.popleft(), MAX_REPLICA_FRAME)
-                with anyio.fail_after(SEND_TIMEOUT_S):
-                    await self.stream.send(data)
-                self.traffic.bytes_out += len(data)
-                self.traffic.messages_out += 1
-            self.wake = anyio.Event()
-            await self.wake.wait()
+        try:
+            while True:
+                while self.queue:
+                    await self._write_next()
+                self.wake = anyio.Event()
+                await self.wake.wait()
+        finally:
+            self.traffic.dropped += len(self.queue)
+
+    async def _write_next(self):
+        data = frame(self.queue.popleft(), MAX_REPLICA_FRAME)
+        with anyio.fail_after(SEND_TIMEOUT_S):
+            await self.stream.send(data)
+        self.traffic.bytes_out += len(data)
+        self.traffic.messages_out += 1
 
     async def read(self, splitter):
         """Reads the next messages.
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -1,6 +1,7 @@
 """Replicas and subscribers of the control plane on true sockets: written and followed, ended and begun again,
 and what comes of bad input."""
 
+import random
 import shutil
 import tempfile
 import unittest
@@ -19,7 +20,9 @@
     TooLargeError,
     VersionNotKeptError,
 )
+from embertray.cluster.replication.link.connection import Traffic
 from embertray.cluster.replication.link.durable_state import replica_state_store
+from embertray.cluster.replication.link.peer_link import PEER_SILENCE_NS, PeerLink
 from embertray.cluster.replication.messages import Confirm, Subscribe, Vote
 from embertray.cluster.replication.replica_core import MAX_STATE_BYTES
 from embertray.cluster.replication.replica_state import ReplicaState, Role
@@ -29,6 +32,81 @@
 from embertray.common.snapshots import Disk
 
 
+class SilentPeer:
+    """A stream that takes what is sent, or nothing, and brings nothing; and a net that gives it."""
+
+    def __init__(self, takes):
+        self.takes, self.sent = takes, []
+
+    async def dial(self, _address):
+        return self
+
+    async def send(self, data):
+        if not self.takes:
+            await anyio.sleep_forever()
+        self.sent.append(data)
+
+    async def receive(self):
+        await anyio.sleep_forever()
+
+    async def aclose(self):
+        pass
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_):
+        pass
+
+
+class ManualClock:
+    """A clock that stands until it is set."""
+
+    time = 0
+
+    def now(self):
+        return self.time
+
+
+class PeerLinks(unittest.TestCase):
+    def test_messages_whose_connection_is_closed_before_they_go_are_counted_as_dropped(self):
+        """Guards against messages that are lost on a silent peer's connection and show nowhere."""
+
+        async def play():
+            clock, traffic, peer = ManualClock(), Traffic(), SilentPeer(takes=True)
+            link = PeerLink(lambda: "peer", lambda: 0, peer, clock, random.Random(1), traffic)
+            async with anyio.create_task_group() as group:
+                group.start_soon(link.run)
+                await anyio.wait_all_tasks_blocked()
+                link.put(b"taken")
+                await anyio.wait_all_tasks_blocked()
+                self.assertEqual((traffic.messages_out, traffic.dropped), (1, 0))
+                clock.time = PEER_SILENCE_NS + 1
+                link.put(b"on a connection that is closed with it")
+                await anyio.wait_all_tasks_blocked()
+                self.assertEqual((traffic.messages_out, traffic.dropped), (1, 1))
+                group.cancel_scope.cancel()
+
+        anyio.run(play)
+
+    def test_messages_that_wait_for_a_peer_that_takes_nothing_are_counted_as_dropped(self):
+        async def play():
+            clock, traffic = ManualClock(), Traffic()
+            link = PeerLink(
+                lambda: "peer", lambda: 0, SilentPeer(takes=False), clock, random.Random(1), traffic
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(link.run)
+                await anyio.wait_all_tasks_blocked()
+                for _ in range(3):
+                    link.put(b"one of them is being written")
+                    await anyio.wait_all_tasks_blocked()
+                group.cancel_scope.cancel()
+            self.assertEqual((traffic.messages_out, traffic.dropped), (0, 2))
+
+        anyio.run(play)
+
+
 class Case(unittest.TestCase):
     def play(self, body, count=3, keep=False, **more):
         """Runs body(cluster) with all replicas up."""
