Daemon: a start that fails closes its listener and frees the folder

What callers saw: with the operators' address taken, the start raises, and the proxies' listener and the folder's lock stay until the process ends.

Cause: Service.run opened store, listener and admin listener before the block that closes them.

Evidence: after the failed start the same folder can't be opened.

Why this works: each is registered on an AsyncExitStack as it is opened.

Test: a_start_that_fails_leaves_neither_listener_nor_lock failed before.

--- a/embertray/service/daemon/service.py
+++ b/embertray/service/daemon/service.py
@@ -6,6 +6,8 @@
 frontend.
 """
 
+from contextlib import AsyncExitStack
+
 import anyio
 import structlog
 from anyio.abc import TaskStatus
@@ -120,13 +122,14 @@
             FolderLockedError: Another process has the snapshots' folder.
             OSError: An address can't be listened on.
         """
-        self.snapshot_store.open()
-        self._start_controller()
-        listener = await self.net.listen(self.me.listen)
-        admin = await self.net.listen(self.me.admin)
-        self.listen = listener.address
-        self.admin = admin.address
-        try:
+        async with AsyncExitStack() as ending:
+            self.snapshot_store.open()
+            ending.callback(self.snapshot_store.close)
+            self._start_controller()
+            listener = await self._listen(self.me.listen, ending)
+            admin = await self._listen(self.me.admin, ending)
+            self.listen = listener.address
+            self.admin = admin.address
             async with anyio.create_task_group() as group:
                 self._start_tasks(group, listener, admin)
                 task_status.started((self.listen, self.admin))
@@ -135,11 +138,17 @@
                     await self.cluster.leave()
                 self.log.info("stopping", streams=len(self.streams))
                 group.cancel_scope.cancel()
-        finally:
+
+    async def _listen(self, address, ending):
+        """Listens until `ending`, an AsyncExitStack, closes, however the start goes on."""
+        listener = await self.net.listen(address)
+
+        async def close():
             with anyio.CancelScope(shield=True):
                 await listener.aclose()
-                await admin.aclose()
-                self.snapshot_store.close()
+
+        ending.push_async_callback(close)
+        return listener
 
     def stop(self):
         """Ends `run`."""
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import unittest
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
@@ -14,6 +15,7 @@
 from hypothesis import HealthCheck, given, settings, strategies as st
 
 from embertray.common.net.address import parse_loopback
+from embertray.common.net.clock import LoopClock
 from embertray.common.net.exceptions import AddressError
 from embertray.common.net.tcp import TcpNet
 from embertray.common.snapshots import DurableSnapshots, InMemorySnapshots, Snapshot, SnapshotEntry
@@ -374,5 +376,30 @@
                 program.stderr.close()
 
 
+class FailedStarts(unittest.TestCase):
+    def test_a_start_that_fails_leaves_neither_listener_nor_lock(self):
+        """Guards against an operators' address that is taken, and costs the next start the other one too."""
+
+        async def play(folder):
+            net = TcpNet(parse_loopback)
+            taken = await net.listen("127.0.0.1:0")
+            free = await net.listen("127.0.0.1:0")
+            address = free.address
+            await free.aclose()
+            site = load(SITES / "samples" / "pushed.xml")
+            me = site.controllers[0]
+            me = replace(me, listen=address, admin=taken.address)
+            store = DurableSnapshots(folder)
+            service = Service(site, me, LoopClock(), net, store, 1, lambda: 0.5, quiet())
+            with self.assertRaises(OSError):
+                await service.run()
+            DurableSnapshots(folder).open()
+            await (await net.listen(address)).aclose()
+            await taken.aclose()
+
+        with tempfile.TemporaryDirectory() as folder:
+            anyio.run(play, Path(folder))
+
+
 if __name__ == "__main__":
     unittest.main()
