Feed: which entries go into an update is a module of its own

What fits into an update is decided in update_packing, without state; the feed sends it and keeps the books.

--- a/embertray/cluster/replication/subscriber_feed.py
+++ b/embertray/cluster/replication/subscriber_feed.py
@@ -13,10 +13,11 @@
 from .feed_schedule import FeedSchedule
 from .freshness import AGE_UNKNOWN
 from .instructions import FeedInstructions, SubscriberMessage
-from .messages import VERSION, Confirm, Heartbeat, Inventory, Repair, Subscribe, Update
+from .messages import VERSION, Confirm, Heartbeat, Inventory, Repair, Subscribe
 from .subscription import Subscription
 from .timing import MILLISECOND, FeedSettings
 from .token_bucket import TokenBucket
+from .update_packing import pack_missing, pack_recent
 
 FRAME_BYTES = 4  # of a frame's length
 UPDATE_BYTES = 24  # an update's own numbers, at the most
@@ -191,32 +192,20 @@
 
     def _send_recent(self, now, subscription, out):
         """Sends what was written since it subscribed, before all that it missed. Returns whether any went."""
-        recent = self.store().since(subscription.recent_sent)
-        entries, _ = _entries_that_fit(recent, self._room(now, subscription))
-        if not entries:
+        update = pack_recent(self.store(), subscription, self._room(now, subscription))
+        if update is None:
             return False
-        confirmed = subscription.confirmed
-        subscription.recent_update_sent(now, entries[-1].revision, self.settings)
-        self._send(now, subscription, encode(Update(confirmed, confirmed, entries)), out)
+        subscription.recent_update_sent(now, update.entries[-1].revision, self.settings)
+        self._send(now, subscription, encode(update), out)
         return True
 
     def _send_missing(self, now, subscription, out):
         """Sends as much as the budget allows, unless that is less than a chunk and more waits."""
-        store = self.store()
-        entries, too_large = _entries_that_fit(
-            store.since(subscription.confirmed), self._room(now, subscription)
-        )
-        size = sum(entry.size for entry in entries)
-        if too_large is not None and not entries:
-            return
-        # what fits before an entry larger than a chunk goes alone: they would never fit together
-        before_large = too_large is not None and too_large.size > self.settings.chunk and size > 0
-        if too_large is not None and size < self.settings.chunk and not before_large:
-            return
-        upto = store.revision if too_large is None else entries[-1].revision
-        subscription.update_sent(now, upto, self.settings)
-        update = Update(subscription.confirmed, upto, entries)
-        self._send(now, subscription, encode(update), out)
+        room = self._room(now, subscription)
+        update = pack_missing(self.store(), subscription, room, self.settings.chunk)
+        if update is not None:
+            subscription.update_sent(now, update.upto, self.settings)
+            self._send(now, subscription, encode(update), out)
 
     def _room(self, now, subscription):
         """Bytes of entries that an update may have now."""
@@ -238,14 +227,3 @@
             bucket.spend(size)
         subscription.bytes_sent += size
         out.append(SubscriberMessage(subscription.name, data))
-
-
-def _entries_that_fit(entries, room):
-    """The first entries that fit into `room` bytes, and the first one that does not; None if all do."""
-    fitting = []
-    for entry in entries:
-        room -= entry.size
-        if room < 0:
-            return fitting, entry
-        fitting.append(entry)
-    return fitting, None
