--- a/review/1/play.py
+++ b/review/1/play.py
@@ -3,7 +3,9 @@
 import asyncio
 import json
 import os
+import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -43,11 +45,15 @@
 
 
 def free_port():
-    import socket
-
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+    """A free port below those that the system gives to outgoing connections, so that none takes it meanwhile."""
+    while True:
+        port = random.randrange(15_000, 32_000)
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 async def wait_ready(address, limit=30):
