Removals that no single message can hold are sent in parts

What callers saw: where many backends left at once, proxies kept all their lines without end.

Cause: EndpointRemoval asks the channel budget for all pending removals of a table, or at least half of them. With many proxies half of a mass removal exceeds what removals may use of the channel, so not even an empty channel takes it, and it is asked for again in every step.

Why this works: no more is asked for than an empty channel can take (ChannelBudget.lines_max); the rest follows as acknowledgements come in.

--- a/embertray/policy/channel_budget.py
+++ b/embertray/policy/channel_budget.py
@@ -111,14 +111,21 @@
         in fewer messages. The same applies while the endpoint list does not answer, since all its changes
         will arrive at once.
         """
+        return self._usable_lines(priority) - self.pending_lines() - self.reserved_lines
+
+    def lines_max(self, proxies, priority):
+        """Returns the most lines that a message of a priority to each of some proxies can ever have."""
+        overhead = self.context.deployment.head + NONCE_LINES
+        return int(self._usable_lines(priority) / max(1, len(proxies)) - overhead)
+
+    def _usable_lines(self, priority):
         deployment = self.context.deployment
         lateness_factor = max(1, 2 * median(self._ack_delays or [0]) / (deployment.drain_grace or SECOND))
         if priority.is_deferrable:
             share_divisor = max(lateness_factor, SHARE_DIVISOR_MAX if self.endpoint_watch.failures else 1)
         else:
             share_divisor = min(lateness_factor, SHARE_DIVISOR_MAX)
-        usable = priority.pending_share / share_divisor * deployment.pending_max
-        return usable - self.pending_lines() - self.reserved_lines
+        return priority.pending_share / share_divisor * deployment.pending_max
 
     def reserve(self, proxies, requested, priority, lines_min=None):
         """Reserves lines in the messages to some proxies.
--- a/embertray/policy/endpoint_removal.py
+++ b/embertray/policy/endpoint_removal.py
@@ -1,11 +1,11 @@
 """Endpoint removal: removes the lines of backends that are no longer ready from all tables.
 
 Rule: removals do not wait for the update queue, its retries or its acknowledgements. All pending removals of
-a table are sent in one message, or at least half of them; the table that has waited longest is first. Proxies
-that are not bound yet are told to withdraw the backend from the table they hold; where tables are subsets, a
-binding is sent instead, which costs no more than withdrawals and achieves more. A backend that is ready again
-is readmitted. Until all removals are sent, only bindings and changes that fit into the same messages are sent
-besides.
+a table are sent in one message, or at least half of them if the channel can take so many; the table that has
+waited longest is first. Proxies that are not bound yet are told to withdraw the backend from the table they
+hold; where tables are subsets, a binding is sent instead, which costs no more than withdrawals and achieves
+more. A backend that is ready again is readmitted. Until all removals are sent, only bindings and changes that
+fit into the same messages are sent besides.
 
 Inputs: backends that stopped being ready, with the time of the endpoint list update (ns). Output: lines with
 weight 0 and `Withdraw` orders.
@@ -72,8 +72,10 @@
             for table, backends in pending_by_table.items()
         }
         for table, backends in sorted(pending_by_table.items(), key=lambda item: oldest_by_table[item[0]]):
-            lines_min = (len(backends) + 1) // 2
-            lines = self.budget.reserve(proxies_by_table[table], len(backends), REMOVAL, lines_min)
+            proxies = proxies_by_table[table]
+            half = (len(backends) + 1) // 2
+            lines_min = max(1, min(half, self.budget.lines_max(proxies, REMOVAL)))
+            lines = self.budget.reserve(proxies, len(backends), REMOVAL, lines_min)
             self.writer.write_lines(table, [(backend, 0) for backend in backends[:lines]])
             if lines:
                 self.queue.requeue(table)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -91,6 +91,18 @@
             fleet.run(fleet.now + S)
         self.assertGreaterEqual(len(empty_table.sent), 8)
 
+    def test_removals_that_no_message_can_hold_go_in_parts(self):
+        """Guards against a mass removal that is never sent, as half of its lines exceed the whole channel."""
+        fleet = Fleet(Controller, 60, 100, zones=1, controllers=1, channel_rate=2000.0, pending_max=2000.0)
+        fleet.run(11 * S)
+        fleet.join(fleet.proxies, lambda proxy: fleet.backends[:5])
+        fleet.run(fleet.now + 10 * S)
+        self.assertTrue(all(len(fleet.lines[proxy]) == 60 for proxy in fleet.proxies))
+        fleet.change_list("changes", fleet.backends[:40], "gone")
+        fleet.run(fleet.now + 15 * S)
+        self.assertEqual(len(fleet.overdue), 0, "lines held past the grace")
+        self.assertLessEqual(fleet.channel.pending_lines_max, fleet.deployment.pending_max)
+
     def test_messages_are_counted_as_written_when_the_channel_lags(self):
         fleet = Fleet(Controller, 6, 20, channel_rate=5000.0, pending_max=10**6, messages_max=8)
         fleet.run(10500 * MS)
