Messages leave room for removals, which are gathered where the limit is short

Cause: a message might go as long as the count of the window permitted it, and nothing was kept for the removals to follow. Each removal went in a message of its own, weights in others; past 20 messages in 10 s a removal waited for the window, whatever its grace.

Evidence: a trace of one proxy's messages: 13 removals and 6 ordinary updates use 19 messages in 3.2 s; from then on removals are refused for 7 s in each step with no line and no unacknowledged message in the channel. So the channel and late acknowledgements are excluded as causes; removals that are not gathered, and other messages, are kept. A table refused for one proxy costs one cycle there, but held back all other tables.

Why this works: policy/message_limit sends ahead of a deadline only if the limit then still permits a removal at once and one in each interval; a gathered removal is due within one interval, for which the room was kept. The interval follows from window, limit, grace and the channel. Waiting for the limit holds back neither other tables nor retries.

--- a/embertray/policy/channel_budget.py
+++ b/embertray/policy/channel_budget.py
@@ -1,22 +1,21 @@
 """Channel budget: limits how many lines may be pending in the channel to the proxies, by priority.
 
 Rule: every message is reserved here before it is ordered, with its lines and its overhead, at the priority of
-its content. A priority may use a share of the lines that may be pending, and reserves a part of the messages
-that a proxy may be sent within the deployment's window for more urgent content. The shares shrink while
+its content. A priority may use a share of the lines that may be pending. The shares shrink while
 acknowledgements are late, those of the lower priorities most; these also shrink while the endpoint list does
-not answer.
+not answer. How many messages a proxy may be sent is up to `message_limit`.
 
 Inputs: acknowledgements of nonces and their delay (ns), limits of the deployment (pending lines, lines a
-second, messages per proxy and window). Output: how many lines of a change are sent now.
+second). Output: how many lines of a change are sent now.
 
-Prevents a channel queue over its limit, behind which removals would miss the drain grace, and more messages
-to one proxy than allowed.
+Prevents a channel queue over its limit, behind which removals would miss the drain grace.
 """
 
 from collections import deque
 from dataclasses import dataclass
 from statistics import median
 
+from .message_limit import MessageLimit
 from .records.messages import LinesInFlight
 from .units import SECOND
 
@@ -62,12 +61,22 @@
         self.reserved = {}  # proxy -> lines of its message in this step
         self.reserved_lines = 0  # in this step, overhead included
         self.in_flight = LinesInFlight(context.now)
+        self.message_limit = MessageLimit(context)
         self._ack_delays = deque(maxlen=ACK_DELAYS_KEPT)  # ns
 
-    def begin_step(self):
-        """Clears the reservations of the previous step."""
+    def begin_step(self, proxies, removal_lines):
+        """Clears the reservations of the previous step.
+
+        Args:
+            proxies: number of joined proxies.
+            removal_lines: lines of the pending removals in the messages to all of them, without overhead.
+        """
         self.reserved = {}
         self.reserved_lines = 0
+        overhead = proxies * (self.context.deployment.head + NONCE_LINES)
+        round_time = self._channel_time(overhead + proxies)
+        delivery_time = self._delivery_time(overhead + max(proxies, removal_lines))
+        self.message_limit.begin_step(self.ack_timeout(), round_time, delivery_time)
 
     def record_acknowledgement(self, proxy, nonce, took):
         """Records that a proxy acknowledged a nonce.
@@ -104,6 +113,21 @@
         ack_delay_max = max(self._ack_delays, default=0)
         return ACK_TIMEOUT_MIN + deployment.channel_delay_max + 2 * ack_delay_max + 2 * drain_time
 
+    def _channel_time(self, lines):
+        """Returns the time that the channel takes to send some lines, ns."""
+        return int(lines * SECOND / (self.context.deployment.channel_rate or SECOND))
+
+    def _delivery_time(self, lines):
+        """Returns the time until the last proxy has received some lines that are sent now, ns.
+
+        What is over the lines that may be pending is sent after acknowledgements of what was sent before.
+        """
+        deployment = self.context.deployment
+        total = self.pending_lines() + lines
+        waits = int(total / self._usable_lines(REMOVAL)) if deployment.pending_max else 0
+        ack_delay = max(self._ack_delays, default=0)
+        return deployment.channel_delay_max + self._channel_time(total) + waits * ack_delay
+
     def free_lines(self, priority):
         """Returns the lines that messages of a priority may still use.
 
@@ -127,7 +151,18 @@
             share_divisor = min(lateness_factor, SHARE_DIVISOR_MAX)
         return priority.pending_share / share_divisor * deployment.pending_max
 
-    def reserve(self, proxies, requested, priority, lines_min=None):
+    def may_send(self, proxies, priority, due_at=None):
+        """Whether the message limit permits a message to each of some proxies, or they get one anyway.
+
+        Args:
+            proxies: `ProxyState`s.
+            priority: `Priority` of the message.
+            due_at: time from which the message must not wait, ns; None: it has no deadline.
+        """
+        others = [proxy for proxy in proxies if proxy not in self.reserved]
+        return self.message_limit.permits(others, priority.messages_reserved, due_at)
+
+    def reserve(self, proxies, requested, priority, lines_min=None, due_at=None):
         """Reserves lines in the messages to some proxies.
 
         Args:
@@ -135,6 +170,7 @@
             requested: lines per proxy.
             priority: `Priority` of these lines.
             lines_min: minimum number of lines worth a message; None: all requested lines or none.
+            due_at: time from which the lines must not wait for the message limit, ns; None: they may.
 
         Returns:
             Lines per proxy: `requested`, fewer but at least `lines_min`, or 0 if there is no room.
@@ -145,25 +181,8 @@
             free = self.free_lines(priority) - overhead
             if free < requested * len(proxies):
                 requested = int(free / len(proxies)) if lines_min and free >= lines_min * len(proxies) else 0
-        if not self._may_send(proxies, priority):
+        if not requested or not self.may_send(proxies, priority, due_at):
             return 0
-        if requested:
-            self.reserved.update((proxy, self.reserved.get(proxy, 0) + requested) for proxy in proxies)
-            self.reserved_lines += overhead + requested * len(proxies)
+        self.reserved.update((proxy, self.reserved.get(proxy, 0) + requested) for proxy in proxies)
+        self.reserved_lines += overhead + requested * len(proxies)
         return requested
-
-    def _may_send(self, proxies, priority):
-        """Whether no proxy has reached its message limit.
-
-        Unacknowledged messages count, since they may yet be written.
-        """
-        deployment = self.context.deployment
-        is_limited = deployment.messages_max > 0
-        messages_limit = deployment.messages_max - priority.messages_reserved
-        written_since = self.context.now - deployment.messages_window
-        ordered_since = written_since - self.ack_timeout() if is_limited else 0
-        for proxy in proxies:
-            recent = proxy.messages.recent_count(written_since, ordered_since)  # also drops older entries
-            if is_limited and proxy not in self.reserved and recent >= messages_limit:
-                return False
-        return True
--- a/embertray/policy/controller.py
+++ b/embertray/policy/controller.py
@@ -10,6 +10,8 @@
 from .weight_planner import WeightPlanner
 
 CYCLE_INTERVAL = 250 * MILLISECOND  # ns; shorter than a report interval
+CYCLE_TIMER = 0  # label
+PUBLISH_TIMER = 1  # label
 PRUNE_INTERVAL = 10 * SECOND  # ns between two searches for departed backends and proxies
 PRUNE_AFTER = 60 * SECOND  # ns after departure; longer than any window, retry or grace
 
@@ -33,6 +35,7 @@
         self.load_shedding = LoadShedding(self.context)
         self.publisher = Publisher(self.context, self.endpoint_watch)
         self._next_cycle_at = 0
+        self._publish_timer_at = None  # ns; None: no timer was ordered since the last control cycle
         self._next_prune_at = now + PRUNE_INTERVAL
 
     @property
@@ -60,12 +63,23 @@
         context.orders = []
         self._apply_events(events)
         context.update_observed_report_interval()
+        publish_at = self.publisher.next_publish_at()
         if now >= self._next_cycle_at:
             self._run_cycle()
-        elif self.publisher.has_urgent_changes:
+        elif publish_at is not None and now >= publish_at:
             self.publisher.publish()
+        self._set_publish_timer()
         return context.orders
 
+    def _set_publish_timer(self):
+        """Orders a timer for changes that are to be sent before the next control cycle or the last timer."""
+        publish_at = self.publisher.next_publish_at()
+        if publish_at is None or publish_at >= (self._publish_timer_at or self._next_cycle_at):
+            return
+        self._publish_timer_at = publish_at
+        after = max(1, publish_at - self.context.now)
+        self.context.orders.append(interface.SetTimer(PUBLISH_TIMER, after))
+
     def _apply_events(self, events):
         """Applies events, endpoint lists last: the reports of a step refer to the previous list."""
         updates = []
@@ -101,7 +115,8 @@
 
     def _run_cycle(self):
         self._next_cycle_at = self.context.now + CYCLE_INTERVAL
-        self.context.orders.append(interface.SetTimer(0, CYCLE_INTERVAL))
+        self._publish_timer_at = None
+        self.context.orders.append(interface.SetTimer(CYCLE_TIMER, CYCLE_INTERVAL))
         self._prune()
         self.endpoint_watch.subscribe_if_due()
         state, desired = self.weight_planner.plan()
--- a/embertray/policy/publisher.py
+++ b/embertray/policy/publisher.py
@@ -2,7 +2,8 @@
 
 Rule: removals and bindings are sent in every step. In control cycles, urgent updates and levels follow, then
 the update queue. All orders of one step carry one nonce, which each affected proxy acknowledges once it has
-applied the message. While removals are pending, tables that have proxies get nothing from the queue.
+applied the message. While removals wait for room in the channel, tables that have proxies get nothing from
+the queue.
 """
 
 from .channel_budget import BINDING, REMOVAL, ChannelBudget
@@ -52,6 +53,10 @@
         for table in self.tables.set_desired(zone, desired):
             self.queue.add(table)
 
+    def next_publish_at(self):
+        """Returns when changes are to be sent before the next control cycle, ns; None: not before it."""
+        return self.context.now if self.has_urgent_changes else self.removal.gathering_until
+
     def publish(self, levels=None):
         """Orders changes as far as the channel budget permits.
 
@@ -62,10 +67,10 @@
         context = self.context
         joined = context.joined_proxies
         self.has_urgent_changes = False
-        self.budget.begin_step()
-        self.writer.begin_step(levels)
         self.removal.cancel_for_ready()
         proxies_by_table, unbound = self._proxies_by_table(joined)
+        self.budget.begin_step(len(joined), self.removal.pending_lines(proxies_by_table))
+        self.writer.begin_step(levels)
         self.queue.resync_if_due(self.tables.all)
         bindings, withdrawals = self._remove_and_bind(joined, proxies_by_table, unbound)
         if levels:
@@ -98,14 +103,14 @@
         if subsets and removal.pending:
             bindings += self.binding.bind(REMOVAL, True, removal.oldest())
         withdrawals = removal.remove(proxies_by_table, [] if subsets else unbound, joined)
-        removals_pending = bool(removal.pending)
+        removals_pending = removal.awaits_lines
         priority = REMOVAL if removals_pending and subsets else BINDING
         bindings += self.binding.bind(priority, removals_pending)
         return bindings, withdrawals
 
     def _update_tables(self, proxies_by_table):
         """Sends urgent updates, then the due tables of the queue; returns the repeated `Binding`s."""
-        removals_pending = bool(self.removal.pending)
+        removals_pending = self.removal.awaits_lines
         for table, proxies in proxies_by_table.items():
             self.queue.send_urgent(table, proxies, removals_pending)
         bindings = []
--- a/embertray/policy/records/messages.py
+++ b/embertray/policy/records/messages.py
@@ -29,15 +29,19 @@
         """Whether a nonce ordered before `time`, ns, is unacknowledged."""
         return bool(self.unacknowledged) and self.unacknowledged[0][1] < time
 
-    def recent_count(self, written_since, ordered_since):
-        """Returns the messages written after `written_since`, plus the unacknowledged ones.
+    def write_times_since(self, written_since, ack_timeout):
+        """Returns the latest possible write times of the messages written after `written_since`.
 
-        Of the latter, those ordered after `ordered_since` count, since they may yet be written. Drops
-        the write times up to `written_since`. Times are ns.
+        Drops older write times of acknowledged messages. Times are ns.
+
+        Args:
+            written_since: ns.
+            ack_timeout: time after its order at which an unacknowledged message counts as written, ns.
         """
         while self.write_times and self.write_times[0] <= written_since:
             self.write_times.popleft()
-        return len(self.write_times) + sum(time > ordered_since for _, time in self.unacknowledged)
+        ordered = (time + ack_timeout for _, time in self.unacknowledged)
+        return [*self.write_times, *(time for time in ordered if time > written_since)]
 
 
 class LinesInFlight:
--- a/embertray/policy/update_queue.py
+++ b/embertray/policy/update_queue.py
@@ -126,7 +126,8 @@
         is_nearly_empty = proxies and len(table.sent) < min(LINES_MIN, len(table.desired) / 2)
         urgent = self._urgent_lines(table, is_nearly_empty, removals_pending)
         priority = REMOVAL if is_nearly_empty else URGENT_UPDATE
-        lines = self.budget.reserve(proxies, len(urgent), priority, lines_min=1)
+        due_at = None if table.sent else self.context.now  # without lines its proxies reject all requests
+        lines = self.budget.reserve(proxies, len(urgent), priority, lines_min=1, due_at=due_at)
         self.writer.write_lines(table, urgent[:lines])
         if has_message or not removals_pending:
             self.writer.write_levels(table, proxies, REMOVAL if has_message else URGENT_UPDATE)
