--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # library, run by .venv of the deploy file's build line. This checks that .venv is there and that every file compiles.
 set -eu
 cd "$(dirname "$0")"
-for file in harness_2.py 6/play.py 7/play.py 8/play.py 9/play.py 10/play.py; do
+for file in harness_2.py proxies_2.py 6/play.py 7/play.py 8/play.py 9/play.py 10/play.py; do
   if [ -e "$file" ]; then
     ../.venv/bin/python -B -c 'import sys; compile(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1], "exec")' "$file"
   fi
