--- a/review/proxies_2.py
+++ b/review/proxies_2.py
@@ -8,9 +8,11 @@
 import contextlib
 import random
 import struct
+import subprocess
 import time
 
 import msgspec
+from harness_2 import ROOT, SITE, CaseError, call, free_addresses
 
 PREFIX = struct.Struct(">I")
 SECOND = 10**9
@@ -119,6 +121,77 @@
             self.met, self.came = {}, 0
 
 
+class Daemon:
+    """A controller of the site in harness_2.py, its inventory (the project's stand-in) and plain proxies.
+
+    Attributes:
+        backends: names of the listed backends; nobody listens there, as no proxy contacts them.
+        listen, admin: the controller's addresses.
+        proxies: the Proxy objects, once `begin` has started them.
+    """
+
+    def __init__(self, case, backends=3):
+        self.case = case
+        *self.backends, self.inventory, self.listen, self.admin = free_addresses(backends + 3)
+        self.proxies = []
+        self.tasks = []
+
+    async def start_inventory(self):
+        """Starts the inventory with all backends ready."""
+        listed = [f"{name}=north" for name in self.backends]
+        self._list = subprocess.Popen(
+            [str(ROOT / "bin" / "embertray"), "stand-in", "inventory", *listed, "--listen", self.inventory],
+            cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, start_new_session=True,
+        )
+        self.case.processes["inventory"] = self._list
+        (self.case.folder / "inventory.log").touch()
+        await asyncio.to_thread(self._list.stdout.readline)
+
+    def change(self, backend, state):
+        """Changes a backend's state on the inventory's list."""
+        self._list.stdin.write(f"{backend} north {state}\n".encode())
+        self._list.stdin.flush()
+        self.case.note("list", backend=backend, state=state)
+
+    def start_controller(self, inventory="", descriptors=None):
+        """Starts the controller.
+
+        Args:
+            inventory: address of the inventory, "" for its own.
+            descriptors: limit of the process's open files; None: as it is.
+        """
+        site = self.case.folder / "site.xml"
+        site.write_text(
+            SITE.format(inventory=inventory or self.inventory, control="", listen=self.listen, admin=self.admin)
+        )
+        limit = f"ulimit -n {descriptors}; " if descriptors else ""
+        command = f'{limit}exec "$0" --log-format json serve "$1" --controller c1'
+        self.case.start("c1", "/bin/sh", "-c", command, str(ROOT / "bin" / "embertray"), str(site))
+
+    async def begin(self, proxies, rate):
+        """Waits until the controller is ready, starts the proxies, and waits until they have all backends."""
+        await self.wait_for(lambda: (call(self.admin, "GET", "/ready", timeout=2) or [0])[0] == 200, "it is ready")
+        self.proxies = [Proxy(self.case, f"p{number + 1}", "north", self.listen, rate) for number in range(proxies)]
+        self.tasks = [asyncio.create_task(proxy.run()) for proxy in self.proxies]
+        await self.wait_for(
+            lambda: all(len(proxy.lines) == len(self.backends) for proxy in self.proxies), "the proxies are bound"
+        )
+
+    async def wait_for(self, condition, what):
+        """Waits until a condition, which may block, is true; raises CaseError after 20 s."""
+        for _ in range(200):
+            if await asyncio.to_thread(condition):
+                return
+            await asyncio.sleep(0.1)
+        raise CaseError(f"not within 20 s: {what}")
+
+    async def stop(self):
+        """Ends the proxies."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
 class Link:
     """Passes connections on to an address; one that is cut off stays open and silent, as its peer has vanished."""
 
