--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -135,6 +135,9 @@
 
 def run_case(folder, play):
     """Runs play(case), which returns a text if the rule was broken, and exits with the case's code."""
+    signal.signal(signal.SIGTERM, _give_up)
+    signal.signal(signal.SIGALRM, _give_up)
+    signal.alarm(119)  # no case runs for longer
     case = Case(folder)
     code = NOT_RUN
     try:
@@ -156,22 +159,35 @@
     sys.exit(code)
 
 
+def _give_up(number, _frame):
+    """Ends the case without a verdict; `run_case` still ends its processes."""
+    raise CaseError(f"ended by {signal.Signals(number).name}")
+
+
 # ---- addresses and calls
 
 
+_drawn = set()  # ports that this process has drawn
+PORTS = range(11_000, 31_000)  # below those that the system gives to outgoing connections
+PORTS_OF_A_CASE = 200  # scripts that run beside each other draw from ranges of their own, by their process ids
+
+
 def free_addresses(number):
-    """Loopback addresses with free ports, below the ports that the system gives to outgoing connections."""
+    """Loopback addresses with free ports that this process has not drawn before."""
+    first = PORTS.start + os.getpid() % (len(PORTS) // PORTS_OF_A_CASE) * PORTS_OF_A_CASE
     addresses = []
     while len(addresses) < number:
-        port = random.randrange(11_000, 31_000)
+        port = random.randrange(first, first + PORTS_OF_A_CASE)
+        if port in _drawn:
+            continue
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if f"127.0.0.1:{port}" not in addresses:
-            addresses.append(f"127.0.0.1:{port}")
+        _drawn.add(port)
+        addresses.append(f"127.0.0.1:{port}")
     return addresses
 
 
